--- /dev/null
+++ b/stackrouter/__init__.py
@@ -0,0 +1,1 @@
+"""The real gateway on sockets round the decision module rackseam."""
--- /dev/null
+++ b/stackrouter/__main__.py
@@ -0,0 +1,82 @@
+"""Starts the gateway: wiring, signals, exit codes."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import sys
+from functools import partial
+
+import gevent
+from gevent.event import Event
+
+from rackseam.interface import ListKind
+from stackrouter import log
+from stackrouter.config import Config, ConfigError, load
+from stackrouter.core.counters import Counters
+from stackrouter.core.engine import Engine, clock_us
+from stackrouter.fronts.platform.client import BUSY, Names, PlatformSession
+from stackrouter.net.discovery import Discovery, Listing
+from stackrouter.net.listener import Listener
+from stackrouter.net.pool import Pool
+
+SERVE_ON_S = 0.5  # after SIGTERM clients still come for a while; before 0.7 s the door must be shut
+FINISH_STEP_S = 0.02
+EXIT_CONFIG = 2
+
+
+class Gateway:
+    def __init__(self, config: Config) -> None:
+        self.counters = Counters()
+        self.engine = Engine(config.settings, config.max_open, self.counters)
+        self.pool = Pool(config.node_sockets, config.connect_timeout_us, config.keepalive_us, self.counters,
+                         self.engine.ended)  # fmt: skip
+        self.engine.transport = self.pool
+        listing = Listing(config.zones, config.kinds, clock_us())
+        self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed)
+        self.engine.fetch_list = self.discovery.refetch
+        version, _, entries, addresses = listing.read(config.known)
+        self.engine.listed(ListKind.CACHED, version, entries, addresses)
+        gevent.spawn(self.engine.run)
+        gevent.spawn(self.discovery.run)
+        names = Names(config.classes, config.plans)
+        session = partial(PlatformSession, self.engine, names, self.counters)
+        self.listeners = [Listener(config.listen, config.client_sockets, self.counters, session, BUSY)]
+        self._terminated = Event()
+
+    def terminate(self) -> None:
+        self._terminated.set()
+
+    def print_counters(self) -> None:
+        print(self.counters.line(), file=sys.stderr, flush=True)
+
+    def serve(self) -> None:
+        """Ready from here on; returns once a stop has been asked for and all taken requests are answered."""
+        self._terminated.wait()
+        gevent.sleep(SERVE_ON_S)
+        for listener in self.listeners:
+            listener.stop()
+        while not self.engine.idle() or any(listener.connections for listener in self.listeners):
+            gevent.sleep(FINISH_STEP_S)
+
+
+def main() -> int:
+    log.start()
+    try:
+        gateway = Gateway(load())
+    except (ConfigError, OSError) as error:
+        print(f"stackrouter: {error}", file=sys.stderr)
+        return EXIT_CONFIG
+    gevent.signal_handler(signal.SIGTERM, gateway.terminate)
+    gevent.signal_handler(signal.SIGINT, gateway.terminate)
+    gevent.signal_handler(signal.SIGUSR1, gateway.print_counters)
+    gc.freeze()  # what is loaded now stays: a collection need not look at it
+    logging.getLogger(__name__).info("listening on %s:%d", *gateway.listeners[0].address)
+    gateway.serve()
+    gateway.print_counters()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/stackrouter/config.py
@@ -0,0 +1,82 @@
+"""What the gateway is told: GW_* and the JSON file that GW_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from rackseam.benchlink import settings_of
+from rackseam.interface import Settings
+
+SPARE_SOCKETS = 64  # descriptors kept back: the log, the event loop, listeners, discovery
+CLIENT_PART = 0.6  # of the rest go to clients, the others to nodes
+OPEN_BYTES = 128 * 1024  # what an open request may hold: its body and its answer
+OPEN_PART = 0.5  # part of the memory that open requests may fill
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    settings: Settings
+    known: dict[str, Any]
+    classes: dict[str, int]
+    plans: dict[str, int]
+    zones: list[str]
+    kinds: list[str]
+    max_open: int
+    connect_timeout_us: int
+    keepalive_us: int
+    client_sockets: int
+    node_sockets: int
+
+
+def address_of(text: Any, name: str) -> tuple[str, int]:
+    host, _, port = str(text or "").rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{name}: not an address: {text!r}")
+    return host, int(port)
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"GW_CONFIG: {error}") from None
+    try:
+        return _config(raw, environ)
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise ConfigError(f"GW_CONFIG: {type(error).__name__}: {error}") from None
+
+
+def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    conf = raw["settings"]
+    caps, limits = conf.get("Caps") or {}, raw.get("limits") or {}
+    sockets = max(8, int(limits.get("sockets") or 1024) - SPARE_SOCKETS)
+    memory = int(limits.get("memory_mb") or 192) << 20
+    return Config(
+        listen=address_of(environ.get("GW_LISTEN") or raw.get("listen"), "GW_LISTEN"),
+        discovery=address_of(environ.get("GW_DISCOVERY") or raw.get("discovery"), "GW_DISCOVERY"),
+        settings=settings_of(conf, int(str(raw.get("seed") or "0"), 16)),
+        known=raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
+        classes={p["Name"]: i for i, p in enumerate(conf["Profiles"])},
+        plans={g["Name"]: i for i, g in enumerate(conf["Grades"])},
+        zones=list(conf.get("Zones") or []),
+        kinds=list(conf.get("Kinds") or []),
+        max_open=min(int(caps.get("MaxOpen") or 1 << 30), int(memory * OPEN_PART) // OPEN_BYTES),
+        connect_timeout_us=int(caps.get("ConnectTimeoutUs") or 250_000),
+        keepalive_us=int(caps.get("KeepaliveUs") or 15_000_000),
+        client_sockets=int(sockets * CLIENT_PART),
+        node_sockets=sockets - int(sockets * CLIENT_PART),
+    )
--- /dev/null
+++ b/stackrouter/core/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, attempts and their outcomes; knows no wire."""
--- /dev/null
+++ b/stackrouter/core/engine.py
@@ -0,0 +1,260 @@
+"""The owner of the decision module: one greenlet turns what happens into events and actions into deeds.
+
+Everything else reaches it through one queue (`submit`, `withdraw`, `ended`, `listed`).
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any
+
+from gevent.queue import Empty, SimpleQueue
+
+from rackseam.control import Controller
+from rackseam.interface import (
+    Action,
+    Answer,
+    Arrival,
+    Cancel,
+    Disconnect,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    ListUpdate,
+    Log,
+    NodeEntry,
+    NodeState,
+    Outcome,
+    Refuse,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    Timer,
+    Withdrawn,
+)
+from stackrouter.core.counters import Counters
+from stackrouter.core.model import Attempt, Node, Reply, Request, Result, Transport, Verdict
+from stackrouter.core.wheel import Wheel
+
+log = logging.getLogger(__name__)
+
+MOST_ROUNDS = 100  # events that actions cause at once are handled in rounds; more than this is a loop
+
+
+def clock_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Engine:
+    def __init__(self, settings: Settings, max_open: int, counters: Counters) -> None:
+        self.settings, self.max_open, self.counters = settings, max_open, counters
+        self.transport: Transport | None = None
+        self.fetch_list: Callable[[], None] = lambda: None
+        self.controller = Controller(settings)
+        self.requests: dict[str, Request] = {}
+        self.nodes: dict[str, Node] = {}
+        self._queue: SimpleQueue[tuple[Callable[..., None], tuple[Any, ...]]] = SimpleQueue()
+        self._events: list[Event] = []
+        self._now = clock_us()
+        self._wheel = Wheel(settings.step_us or 1000, self._now)
+        self._made = 0
+
+    # --- the queue: called from socket code
+
+    def submit(self, request: Request) -> None:
+        self._queue.put((self._submit, (request,)))
+
+    def withdraw(self, request: Request) -> None:
+        self._queue.put((self._withdraw, (request,)))
+
+    def ended(self, attempt: Attempt, reply: Reply) -> None:
+        self._queue.put((self._ended, (attempt, reply)))
+
+    def listed(self, kind: ListKind, version: int, entries: Sequence[NodeEntry],
+               addresses: dict[str, tuple[str, int]]) -> None:  # fmt: skip
+        self._queue.put((self._listed, (kind, version, entries, addresses)))
+
+    def idle(self) -> bool:
+        return not self.requests and self._queue.empty()
+
+    # --- the loop
+
+    def run(self) -> None:
+        while True:
+            wait = self._wheel.wait_us(clock_us())
+            try:
+                batch = [self._queue.get(timeout=None if wait is None else wait / 1e6)]
+                while not self._queue.empty():
+                    batch.append(self._queue.get_nowait())
+            except Empty:
+                batch = []
+            self.step(batch)
+
+    def step(self, batch: Sequence[tuple[Callable[..., None], tuple[Any, ...]]]) -> None:
+        """What came in is taken before what fell due: an answer that is here has not timed out."""
+        self._now = clock_us()
+        calls = [partial(call, *values) for call, values in batch]
+        for call in calls + self._wheel.advance(self._now):
+            try:
+                call()
+            except Exception:
+                self.counters.add("errors.engine")
+                log.exception("engine")
+        for _ in range(MOST_ROUNDS):
+            if not self._events:
+                return
+            events, self._events = self._events, []
+            try:
+                actions = self.controller.handle(self._now, events)
+            except Exception:
+                # The decisions of this batch are lost; its requests end by their backstop.
+                self.counters.add("errors.module")
+                log.exception("decision module")
+                continue
+            for action in actions:
+                self._carry_out(action)
+
+    # --- what came in
+
+    def _submit(self, r: Request) -> None:
+        self.counters.add("requests.taken")
+        grace = r.deadline_us - self._now
+        if len(self.requests) >= self.max_open:
+            self.counters.add("requests.over_max_open")
+            self._answer(r, Result(Verdict.REFUSED))
+            return
+        self._made += 1
+        r.id = str(self._made)
+        arrival = Arrival(
+            r.id, r.request_class, r.plan, r.volume, r.units, r.shard, r.gateways, r.key, max(0, grace),
+            r.repeat, r.write,
+        )  # fmt: skip
+        self.requests[r.id] = r
+        # Backstop: whatever goes wrong in between, the request gets its answer within the slack.
+        overdue = r.deadline_us + self.settings.answer_slack_us // 2
+        self._wheel.add(overdue, lambda: self._overdue(r))
+        self._events.append(arrival)
+
+    def _overdue(self, r: Request) -> None:
+        if not r.answered:
+            self.counters.add("requests.overdue")
+            self._events.append(Withdrawn(r.id))
+            self._answer(r, Result(Verdict.FAILED))
+
+    def _withdraw(self, r: Request) -> None:
+        if not r.answered:
+            self.counters.add("requests.withdrawn")
+            r.answered = True
+            self._events.append(Withdrawn(r.id))
+            self._forget(r)
+
+    def _listed(self, kind: ListKind, version: int, entries: Sequence[NodeEntry],
+                addresses: dict[str, tuple[str, int]]) -> None:  # fmt: skip
+        self.counters.add(f"lists.{kind.name.lower()}")
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            named = {entry.node for entry in entries}
+            for node in self.nodes.values():
+                if node.name not in named:
+                    node.state = NodeState.GONE
+        for entry in entries:
+            known = self.nodes.get(entry.node)
+            address = addresses[entry.node]
+            if known is None:
+                self.nodes[entry.node] = Node(entry.node, address, entry.shard, entry.state)
+            else:
+                known.address, known.shard, known.state = address, entry.shard, entry.state
+        for node in [n for n in self.nodes.values() if n.state is NodeState.GONE]:
+            del self.nodes[node.name]
+            if self.transport:
+                self.transport.close_idle(node.name)
+        self._events.append(ListUpdate(kind, tuple(entries), version))
+
+    def _ended(self, attempt: Attempt, reply: Reply) -> None:
+        if not attempt.live:
+            return  # given up before: its outcome is told already
+        r, served = attempt.request, reply.outcome is Outcome.DONE
+        attempt.live = False
+        del r.out[attempt.number]
+        self.counters.add(f"attempts.{reply.outcome.value}")
+        closed = served or r.answered
+        if served:
+            self._answer(r, Result(Verdict.SERVED, reply.value))
+        self._events.append(
+            Answer(
+                r.id, attempt.number, attempt.node.name, reply.outcome, closed, self._now - attempt.sent_us,
+                reply.elsewhere_units, 0 if reply.used_percent is None else reply.used_percent + 1,
+                reply.report,
+            )
+        )  # fmt: skip
+        self._forget(r)
+
+    def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        if attempt.live:
+            if self.transport:
+                self.transport.give_up(attempt)
+            # Nothing written whole: the node never saw it, whoever lost patience.
+            never_ran = outcome is Outcome.TIMEOUT and not attempt.may_have_run
+            self._ended(attempt, Reply(Outcome.CONNECT_FAILED if never_ran else outcome))
+
+    def _answer(self, r: Request, result: Result) -> None:
+        if r.answered:
+            return
+        r.answered = True
+        self.counters.add(f"requests.{result.verdict.value}")
+        r.answer(result)
+        self._forget(r)
+
+    def _forget(self, r: Request) -> None:
+        if r.answered and not r.out:
+            self.requests.pop(r.id, None)
+
+    # --- what the module wants
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Send(request, node, timeout_us):
+                self._send(request, node, timeout_us)
+            case SetTimer(tag, in_us):
+                self._wheel.add(self._now + in_us, lambda: self._events.append(Timer(tag)))
+            case Refuse(request, pause_us):
+                if r := self.requests.get(request):
+                    self._answer(r, Result(Verdict.REFUSED, pause_us=pause_us))
+            case Fail(request):
+                if r := self.requests.get(request):
+                    self._answer(r, Result(Verdict.FAILED))
+            case Cancel(request, number):
+                if (r := self.requests.get(request)) and (attempt := r.out.get(number)):
+                    self._give_up(attempt, Outcome.CANCELLED)
+            case Disconnect(name):
+                if self.transport:
+                    self.transport.close_idle(name)
+            case Subscribe() | FetchList():
+                self.fetch_list()
+            case Log(text):
+                log.info("module: %s", text)
+            case _:
+                self.counters.add("errors.action")
+                log.error("the settings allow no %s", type(action).__name__)
+
+    def _send(self, request: str, name: str, timeout_us: int) -> None:
+        r, node = self.requests.get(request), self.nodes.get(name)
+        if r is None:
+            self._events.append(Answer(request, 0, name, Outcome.MOOT, True))
+            return
+        number, r.attempts = r.attempts, r.attempts + 1
+        held = node is not None and r.shard in (-1, node.shard)
+        if node is None or not held or r.answered or r.attempts > self.settings.max_attempts \
+                or self._now >= r.deadline_us or self.transport is None:  # fmt: skip
+            self.counters.add("attempts.moot")
+            self._events.append(Answer(r.id, number, name, Outcome.MOOT, r.answered))
+            return
+        deadline = min(r.deadline_us, self._now + timeout_us) if timeout_us else r.deadline_us
+        attempt = r.out[number] = Attempt(r, number, node, self._now, deadline)
+        self.counters.add("attempts.started")
+        self._wheel.add(deadline, lambda: self._give_up(attempt, Outcome.TIMEOUT))
+        self.transport.start(attempt)
--- /dev/null
+++ b/stackrouter/core/model.py
@@ -0,0 +1,135 @@
+"""What fronts, core and net hand one another: requests, attempts, replies and results."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from rackseam.interface import NodeState, Outcome
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """The one final answer to a request. `value` is what the front's node side made of the node's answer."""
+
+    verdict: Verdict
+    value: Any = None
+    pause_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """How a node answered an attempt."""
+
+    outcome: Outcome
+    value: Any = None
+    used_percent: int | None = None
+    elsewhere_units: float = 0.0
+    report: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """Bytes for a node. `effective`: once they are written whole, the request may have run."""
+
+    data: bytes
+    effective: bool
+
+
+class Inbox(Protocol):
+    """Received bytes that wait to be parsed."""
+
+    def __len__(self) -> int: ...
+
+    def peek(self, start: int, length: int) -> bytes: ...
+
+    def skip(self, length: int) -> None: ...
+
+
+class Exchange(Protocol):
+    """One attempt's talk with a node, made by a front for each attempt."""
+
+    def start(self, wait_us: int, fresh: bool) -> Step:
+        """The first bytes; `fresh`: the first on this connection."""
+
+    def received(self, inbox: Inbox) -> Step | Reply | None:
+        """What follows from the bytes so far: more bytes to write, the end, or nothing yet."""
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A client's request in the core's terms. `deadline_us` is when its client gives up."""
+
+    request_class: int
+    plan: int
+    volume: str
+    units: float
+    shard: int
+    gateways: int
+    key: str
+    arrived_us: int
+    deadline_us: int
+    exchange: Callable[[], Exchange]
+    answer: Callable[[Result], None]
+    wire: str  # which of the fronts' node wires carries it: connections are not shared between them
+    repeat: bool = False
+    write: bool = False
+    port: int = 0  # the node port of that wire; 0: the one discovery gives
+    # Kept by the engine alone:
+    id: str = ""
+    attempts: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
+    answered: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Node:
+    name: str
+    address: tuple[str, int]
+    shard: int
+    state: NodeState
+
+    @property
+    def ready(self) -> bool:
+        return self.state is NodeState.READY
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """`live` until its outcome is known; `may_have_run` once an effective step was written whole."""
+
+    request: Request
+    number: int
+    node: Node
+    sent_us: int
+    deadline_us: int
+    live: bool = True
+    may_have_run: bool = False
+
+    def may_write(self) -> bool:
+        """Guards the first byte: the list may have changed, or the client gone, while it connected."""
+        return self.live and self.node.ready
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port = self.node.address
+        return host, self.request.port or port
+
+
+class Transport(Protocol):
+    """Carries attempts to nodes; each ends by one call of the engine's `ended`, unless given up before."""
+
+    def start(self, attempt: Attempt) -> None: ...
+
+    def give_up(self, attempt: Attempt) -> None:
+        """End the attempt's connection now, before anything further is sent."""
+
+    def close_idle(self, node: str) -> None: ...
--- /dev/null
+++ b/stackrouter/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The wires the gateway speaks; core and net import nothing from here."""
--- /dev/null
+++ b/stackrouter/fronts/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform front: RESP2 to clients and storage nodes."""
--- /dev/null
+++ b/stackrouter/fronts/platform/client.py
@@ -0,0 +1,159 @@
+"""The platform's client side: RESP2 commands to core requests, results to RESP2 answers, in order."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from stackrouter.core.counters import Counters
+from stackrouter.core.engine import Engine, clock_us
+from stackrouter.core.model import Inbox, Request, Result, Verdict
+from stackrouter.fronts.platform import resp
+from stackrouter.fronts.platform.node import Command
+from stackrouter.net.listener import MalformedError
+
+WIRE = "platform"
+MOST_PIPELINED = 32  # commands of one connection that may wait for their answers
+READ, WRITE = b"BLK.READ", b"BLK.WRITE"
+BUSY = resp.error("BUSY")
+LONGEST_WAIT_MS = 3_600_000
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The settings' names of classes and plans, by index."""
+
+    classes: Mapping[str, int]
+    plans: Mapping[str, int]
+
+
+class BadCommandError(Exception):
+    """The command cannot be carried out; the connection goes on."""
+
+
+def request_of(parts: list[bytes], names: Names, answer: Callable[[Result], None]) -> Request:
+    """A BLK command in the core's terms; raises BadCommandError."""
+    if len(parts) < 4 or len(parts) > 5:
+        raise BadCommandError("wrong number of arguments")
+    name, piece, request_id, raw, *body = parts
+    try:
+        pairs = [field.partition("=") for field in raw.decode("ascii").split(",")]
+    except UnicodeDecodeError:
+        raise BadCommandError("bad fields") from None
+    fields = {key: value for key, _, value in pairs}
+    if len(fields) != len(pairs):
+        raise BadCommandError("a field is given twice")
+    now = clock_us()
+    try:
+        units, gateways = float(fields["units"]), int(fields.get("hosts", "1"))
+        shard, wait_ms = int(fields.get("shard", "-1")), int(fields["d"])
+        request_class, plan, volume = fields["c"], fields["t"], fields["volume"]
+    except KeyError as error:
+        raise BadCommandError(f"field {error.args[0]} is missing") from None
+    except ValueError:
+        raise BadCommandError("a field is not a number") from None
+    if request_class not in names.classes or plan not in names.plans:
+        raise BadCommandError("unknown class or plan")
+    sizes = math.isfinite(units) and units > 0 and gateways >= 1 and shard >= -1
+    if not sizes or not 0 < wait_ms <= LONGEST_WAIT_MS:
+        raise BadCommandError("a field is out of range")
+    command = Command(name, piece, request_id, tuple((key, value) for key, _, value in pairs), tuple(body))
+    return Request(
+        request_class=names.classes[request_class],
+        plan=names.plans[plan],
+        volume=volume,
+        units=units,
+        shard=shard,
+        gateways=gateways,
+        key=piece.decode("ascii", "replace"),
+        arrived_us=now,
+        deadline_us=now + wait_ms * 1000,
+        exchange=command.exchange,
+        answer=answer,
+        wire=WIRE,
+        repeat=fields.get("r") == "1",
+        write=name.upper() == WRITE,
+    )
+
+
+def answer_of(result: Result) -> bytes:
+    if result.verdict is Verdict.SERVED:
+        return resp.bulk(result.value)
+    if result.verdict is Verdict.REFUSED:
+        return resp.error(f"BUSY {-(-result.pause_us // 1000)}" if result.pause_us else "BUSY")
+    return resp.error("ERR failed")
+
+
+class _Slot:
+    """A command's place in the order of answers."""
+
+    __slots__ = ("data", "request")
+
+    def __init__(self, data: bytes | None = None) -> None:
+        self.data = data
+        self.request: Request | None = None
+
+
+class PlatformSession:
+    def __init__(self, engine: Engine, names: Names, counters: Counters, wake: Callable[[], None]) -> None:
+        self._engine, self._names, self._counters, self._wake = engine, names, counters, wake
+        self._slots: deque[_Slot] = deque()
+
+    def received(self, inbox: Inbox) -> None:
+        while not self.full():
+            try:
+                found = resp.parse(inbox)
+            except resp.ProtocolError as error:
+                raise MalformedError(resp.error(f"ERR Protocol error: {error}")) from None
+            if found is None:
+                return
+            match found[0]:
+                case [bytes(), *_] as parts if all(isinstance(part, bytes) for part in parts):
+                    self._command([part for part in parts if isinstance(part, bytes)])
+                case _:
+                    raise MalformedError(resp.error("ERR Protocol error: expected an array of bulk strings"))
+
+    def _command(self, parts: list[bytes]) -> None:
+        name = parts[0].upper()
+        if name in (READ, WRITE):
+            slot = _Slot()
+            try:
+                slot.request = request_of(parts, self._names, lambda result: self._answered(slot, result))
+            except BadCommandError as error:
+                self._counters.add("clients.bad_command")
+                slot.data = resp.error(f"ERR {error}")
+            else:
+                self._engine.submit(slot.request)
+            self._slots.append(slot)
+        elif name == b"PING" and len(parts) <= 2:
+            self._slots.append(_Slot(resp.bulk(parts[1]) if len(parts) == 2 else b"+PONG\r\n"))
+        elif name in (b"CLIENT", b"SELECT"):
+            self._slots.append(_Slot(b"+OK\r\n"))
+        else:
+            self._counters.add("clients.bad_command")
+            self._slots.append(_Slot(resp.error("ERR unknown command")))
+        self._wake()
+
+    def _answered(self, slot: _Slot, result: Result) -> None:
+        slot.data = answer_of(result)
+        slot.request = None
+        self._wake()
+
+    def output(self) -> bytes:
+        if self._slots and self._slots[0].data is not None:
+            return self._slots.popleft().data or b""
+        return b""
+
+    def pending(self) -> int:
+        return len(self._slots)
+
+    def full(self) -> bool:
+        return len(self._slots) >= MOST_PIPELINED
+
+    def gone(self) -> None:
+        for slot in self._slots:
+            if slot.request is not None:
+                self._engine.withdraw(slot.request)
+        self._slots.clear()
--- /dev/null
+++ b/stackrouter/net/discovery.py
@@ -0,0 +1,138 @@
+"""The list of storage nodes, watched over HTTP."""
+
+from __future__ import annotations
+
+import json
+import logging
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import gevent
+import httptools
+from gevent import socket
+
+from rackseam.interface import ListKind, NodeEntry, NodeState
+from stackrouter.core.counters import Counters
+
+log = logging.getLogger(__name__)
+
+WAIT_MS = 2000  # how long a watch may stay silent. Short: what is told is taken as known 2 s after it
+ANSWER_S = 1.0  # ... and how much longer its answer may take before the connection is given up
+RETRY_S = 0.1  # rest after a failed call: within the 200 ms in which a watch goes on
+LARGEST = 4 << 20
+STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
+
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, httptools.HttpParserError)
+
+Told = Callable[[ListKind, int, Sequence[NodeEntry], dict[str, tuple[str, int]]], None]
+
+
+class Listing:
+    """Turns discovery's JSON into the module's words."""
+
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str], now_us: int) -> None:
+        self._zones = {name: i for i, name in enumerate(zones)}
+        self._kinds = {name: i for i, name in enumerate(kinds)}
+        # Mapped once: a wall clock that is set later must not make old nodes look cold.
+        self._offset_us = now_us - time.time_ns() // 1000
+
+    def read(self, raw: Any) -> tuple[int, bool, list[NodeEntry], dict[str, tuple[str, int]]]:
+        """Version, whether it is the whole list, entries and addresses; what is malformed raises."""
+        entries, addresses = [], {}
+        for item in raw.get("endpoints") or ():
+            host, _, port = item["address"].rpartition(":")
+            since = item.get("since_ms") or 0
+            addresses[item["name"]] = (host, int(port))
+            entries.append(
+                NodeEntry(
+                    node=item["name"],
+                    shard=int(item["group"]),
+                    state=STATES[item["status"]],
+                    zone=self._zones.get(item.get("zone"), 0),
+                    kind=self._kinds.get(item.get("type"), 0),
+                    rating=float(item.get("weight", 1.0)),
+                    launched_us=max(0, int(since) * 1000 + self._offset_us) if since else 0,
+                )
+            )
+        return int(raw["index"]), bool(raw.get("snapshot")), entries, addresses
+
+
+class _Response:
+    def __init__(self) -> None:
+        self.body, self.whole = bytearray(), False
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+        if len(self.body) > LARGEST:
+            raise ValueError("discovery's answer is too long")
+
+    def on_message_complete(self) -> None:
+        self.whole = True
+
+
+class Discovery:
+    def __init__(self, address: tuple[str, int], listing: Listing, counters: Counters, told: Told) -> None:
+        self.address, self.listing, self.counters, self.told = address, listing, counters, told
+        self._sock: socket.socket | None = None
+        self._index: int | None = None  # None: the next call fetches the whole list
+
+    def refetch(self) -> None:
+        self._index = None
+
+    def run(self) -> None:
+        while True:
+            try:
+                self._call()
+            except (
+                OSError,
+                ValueError,
+                KeyError,
+                TypeError,
+                AttributeError,
+                httptools.HttpParserError,
+            ) as error:
+                self.counters.add("discovery.failed")
+                log.debug("discovery: %s", error)
+                self._hang_up()
+                # After silence nobody knows what was missed.
+                self._index = None
+                gevent.sleep(RETRY_S)
+
+    def _call(self) -> None:
+        index = self._index
+        query = "" if index is None else f"?index={index}&wait={WAIT_MS}"
+        raw = json.loads(self._get(f"/v1/endpoints{query}", ANSWER_S + (WAIT_MS / 1000 if query else 0)))
+        version, whole, entries, addresses = self.listing.read(raw)
+        if whole or entries:
+            self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
+        self._index = version
+        self.counters.add("discovery.answers")
+
+    def _get(self, path: str, within_s: float) -> bytes:
+        with gevent.Timeout(within_s, TimeoutError("discovery is silent")):
+            if self._sock is None:
+                sock = self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                sock.connect(self.address)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            host = f"{self.address[0]}:{self.address[1]}"
+            self._sock.sendall(
+                f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
+            )
+            response = _Response()
+            parser = httptools.HttpResponseParser(response)
+            while not response.whole:
+                data = self._sock.recv(65536)
+                if not data:
+                    raise ConnectionResetError("discovery ended the connection")
+                parser.feed_data(data)
+            if not parser.should_keep_alive():
+                self._hang_up()
+            if parser.get_status_code() != 200:
+                raise ValueError(f"discovery answered {parser.get_status_code()}")
+            return bytes(response.body)
+
+    def _hang_up(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
--- /dev/null
+++ b/stackrouter/net/listener.py
@@ -0,0 +1,219 @@
+"""Client connections: a listener, and for each connection a reader, a writer and a ring for each of them.
+
+What the bytes mean is a front's matter: it gives each connection a session.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import logging
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from gevent import GreenletExit, socket
+from gevent.event import Event
+
+from stackrouter.core.counters import Counters
+from stackrouter.core.model import Inbox
+from stackrouter.net.ring import Ring
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+INBOX = 160 * 1024  # a value of 64 KiB in a command with its other parts
+OUTBOX = 64 * 1024
+STALL_S = 10.0  # half a request, or an answer nobody reads, may stand still this long
+EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+EXHAUSTED_REST_S = 0.05
+
+
+class MalformedError(Exception):
+    """The stream cannot be followed any further: `farewell` is sent and the connection closed."""
+
+    def __init__(self, farewell: bytes = b"") -> None:
+        super().__init__(farewell)
+        self.farewell = farewell
+
+
+class Session(Protocol):
+    """A front's side of one client connection."""
+
+    def received(self, inbox: Inbox) -> None:
+        """Take whole requests out of the inbox; raises MalformedError."""
+
+    def output(self) -> bytes:
+        """The next bytes for the client; empty when there are none now."""
+
+    def pending(self) -> int:
+        """Requests taken whose answers have not been handed to `output`."""
+
+    def full(self) -> bool:
+        """No more is read until answers have left."""
+
+    def gone(self) -> None:
+        """The client went away."""
+
+
+class Connection:
+    def __init__(self, sock: socket.socket, listener: Listener) -> None:
+        self.sock, self.listener = sock, listener
+        self.inbox, self.outbox = Ring(INBOX), Ring(OUTBOX)
+        self.active_at = self.stalled_since = time.monotonic()
+        self.ending = self.closed = False
+        self._wake, self._room = Event(), Event()
+        self.session = listener.session(self._wake.set)
+        self._greenlets = [gevent.spawn(self._guard, self._read), gevent.spawn(self._guard, self._write)]
+
+    def idle(self) -> bool:
+        return not self.session.pending() and not len(self.outbox) and not len(self.inbox)
+
+    def stalled(self, now: float) -> bool:
+        waits = len(self.outbox) or (len(self.inbox) and not self.session.full())
+        return bool(waits) and now - self.active_at > STALL_S
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.listener.forget(self)
+        self.session.gone()
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        for greenlet in self._greenlets:
+            if greenlet is not gevent.getcurrent():
+                greenlet.kill(block=False)
+
+    def _guard(self, work: Callable[[], None]) -> None:
+        """One bad connection never ends the program."""
+        try:
+            work()
+        except (OSError, GreenletExit):
+            pass
+        except Exception:
+            self.listener.counters.add("errors.connection")
+            log.exception("client connection")
+        self.close()
+
+    def _read(self) -> None:
+        while not self.closed:
+            if self.session.full():
+                # Backpressure: what the client sends meanwhile stays in its socket.
+                self._room.clear()
+                self._room.wait()
+            elif not self.inbox.receive(self.sock):
+                return
+            self.active_at = time.monotonic()
+            try:
+                self.session.received(self.inbox)
+            except MalformedError as error:
+                self.listener.counters.add("clients.malformed")
+                self._farewell(error.farewell)
+                return
+
+    def _farewell(self, data: bytes) -> None:
+        """What was taken before is answered first; then the reason, then the end."""
+        self.ending = True
+        with gevent.Timeout(STALL_S, TimeoutError()):
+            while self.session.pending() or len(self.outbox):
+                self._room.clear()
+                self._room.wait()
+            self.sock.sendall(data)
+            self.sock.shutdown(socket.SHUT_WR)
+            while self.sock.recv(4096):
+                pass  # closing with unread bytes would reset the connection and lose the reason
+
+    def _write(self) -> None:
+        rest = memoryview(b"")
+        while not self.closed:
+            self._wake.clear()
+            while rest or (rest := memoryview(self.session.output())):
+                rest = rest[self.outbox.put(rest) :]
+                if not self.outbox.room:
+                    break
+            self._room.set()
+            if len(self.outbox):
+                self.outbox.send(self.sock)
+                self.active_at = time.monotonic()
+                continue
+            if self.listener.stopping and not self.ending and self.idle():
+                return
+            self._wake.wait()
+
+    def wake(self) -> None:
+        self._wake.set()
+
+
+class Listener:
+    def __init__(self, address: tuple[str, int], most: int, counters: Counters,
+                 session: Callable[[Callable[[], None]], Session], busy: bytes) -> None:  # fmt: skip
+        self.most, self.counters, self.session, self.busy = most, counters, session, busy
+        self.connections: set[Connection] = set()
+        self.stopping = False
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        self.address = self._sock.getsockname()
+        self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._sweep)]
+
+    def stop(self) -> None:
+        """Take no new connection, close those between requests; the others close with their last answer."""
+        self.stopping = True
+        for greenlet in self._greenlets:
+            greenlet.kill()
+        with contextlib.suppress(OSError):
+            self._sock.setblocking(False)
+            while True:  # whoever the system has let in already may have sent a request
+                self._admit(self._sock.accept()[0])
+        self._sock.close()
+        for connection in list(self.connections):
+            connection.wake()
+
+    def forget(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError as error:
+                self.counters.add("errors.accept")
+                if error.errno in EXHAUSTED:
+                    self._make_room()
+                    gevent.sleep(EXHAUSTED_REST_S)
+                continue
+            self._admit(sock)
+
+    def _admit(self, sock: socket.socket) -> None:
+        try:
+            if len(self.connections) >= self.most and not self._make_room():
+                # The system has let the client in, so its request counts as taken: it is told.
+                self.counters.add("clients.over_sockets")
+                sock.setblocking(False)
+                sock.send(self.busy)
+                sock.close()
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections.add(Connection(sock, self))
+            self.counters.add("clients.connected")
+        except OSError:
+            self.counters.add("errors.accept")
+            sock.close()
+
+    def _make_room(self) -> bool:
+        idle = [c for c in self.connections if c.idle()]
+        if idle:
+            min(idle, key=lambda c: c.active_at).close()
+        return bool(idle)
+
+    def _sweep(self) -> None:
+        while True:
+            gevent.sleep(STALL_S / 10)
+            now = time.monotonic()
+            for connection in [c for c in self.connections if c.stalled(now)]:
+                self.counters.add("clients.stalled")
+                connection.close()
--- /dev/null
+++ b/stackrouter/net/pool.py
@@ -0,0 +1,184 @@
+"""Connections to storage nodes: one attempt on each at a time, idle ones kept for the next."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import select
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import GreenletExit, socket
+
+from rackseam.interface import Outcome
+from stackrouter.core.counters import Counters
+from stackrouter.core.model import Attempt, Reply, Step
+from stackrouter.net.ring import Ring
+
+log = logging.getLogger(__name__)
+
+LARGEST_REPLY = 160 * 1024  # a value of 64 KiB, its framing and reports, with room to spare
+IDLE_PART = 0.4  # part of the node's keep-alive for which an idle connection is trusted
+SWEEP_S = 0.5  # how often idle connections are looked over
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    sock: socket.socket
+    wire: str
+    address: tuple[str, int]
+    inbox: Ring = field(default_factory=lambda: Ring(LARGEST_REPLY))
+    used_at: float = 0.0
+
+    def end(self) -> None:
+        """Shut down at once: closing alone waits for a turn of the event loop."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
+    def usable(self) -> bool:
+        """Idle connections carry nothing: bytes, an end or an error make one useless."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+class Pool:
+    def __init__(self, most: int, connect_timeout_us: int, keepalive_us: int, counters: Counters,
+                 ended: Callable[[Attempt, Reply], None]) -> None:  # fmt: skip
+        self.most, self.counters, self.ended = most, counters, ended
+        self.connect_s, self.idle_s = connect_timeout_us / 1e6, keepalive_us / 1e6 * IDLE_PART
+        self._idle: dict[str, deque[Connection]] = {}
+        self._count = 0  # sockets held, idle or not
+        self._busy: dict[Attempt, tuple[gevent.Greenlet[..., None], Connection | None]] = {}
+        gevent.spawn(self._sweep)
+
+    # --- what the engine calls; nothing here waits
+
+    def start(self, attempt: Attempt) -> None:
+        self._busy[attempt] = (gevent.spawn(self._run, attempt), None)
+
+    def give_up(self, attempt: Attempt) -> None:
+        greenlet, connection = self._busy.pop(attempt, (None, None))
+        if connection is not None:
+            self._drop(connection)
+        if greenlet is not None:
+            greenlet.kill(block=False)
+
+    def close_idle(self, node: str) -> None:
+        for connection in self._idle.pop(node, ()):
+            self._drop(connection)
+
+    def close_all_idle(self) -> None:
+        for node in list(self._idle):
+            self.close_idle(node)
+
+    # --- an attempt
+
+    def _run(self, attempt: Attempt) -> None:
+        try:
+            reply = self._exchange(attempt)
+        except GreenletExit:
+            return
+        except Exception:
+            self.counters.add("errors.attempt")
+            log.exception("attempt at %s", attempt.node.name)
+            reply = Reply(Outcome.RESET if attempt.may_have_run else Outcome.CONNECT_FAILED)
+        _, connection = self._busy.pop(attempt, (None, None))
+        if connection is not None:
+            self._drop(connection)
+        self.ended(attempt, reply)
+
+    def _exchange(self, attempt: Attempt) -> Reply:
+        connection, fresh = self._take_idle(attempt), False
+        if connection is None:
+            connection, fresh = self._connect(attempt), True
+        if connection is None:
+            return Reply(Outcome.CONNECT_FAILED)
+        if not attempt.may_write():
+            # Guards the drain rule: the node was told to be draining or gone while this waited.
+            self.counters.add("attempts.not_written")
+            self._keep(attempt, connection)
+            return Reply(Outcome.CONNECT_FAILED)
+        exchange = attempt.request.exchange()
+        wait_us = max(0, attempt.deadline_us - time.monotonic_ns() // 1000)
+        try:
+            step: Step | Reply | None = exchange.start(wait_us, fresh)
+            while not isinstance(step, Reply):
+                if step is not None:
+                    if step.effective and not attempt.may_write() and not attempt.may_have_run:
+                        return Reply(Outcome.CONNECT_FAILED)
+                    connection.sock.sendall(step.data)
+                    attempt.may_have_run = attempt.may_have_run or step.effective
+                elif not connection.inbox.room or not connection.inbox.receive(connection.sock):
+                    raise ConnectionResetError("the node ended the connection")
+                step = exchange.received(connection.inbox)
+        except OSError:
+            return Reply(Outcome.RESET if attempt.may_have_run else Outcome.CONNECT_FAILED)
+        if not len(connection.inbox):
+            self._keep(attempt, connection)
+        return step
+
+    # --- connections
+
+    def _take_idle(self, attempt: Attempt) -> Connection | None:
+        idle = self._idle.get(attempt.node.name, ())
+        for connection in reversed(list(idle)):
+            if connection.wire != attempt.request.wire:
+                continue
+            idle.remove(connection)  # type: ignore[union-attr]
+            fresh_enough = time.monotonic() - connection.used_at < self.idle_s
+            if fresh_enough and connection.address == attempt.address and connection.usable():
+                self._busy[attempt] = (self._busy[attempt][0], connection)
+                return connection
+            self._drop(connection)
+        return None
+
+    def _connect(self, attempt: Attempt) -> Connection | None:
+        if self._count >= self.most and not self._drop_oldest_idle():
+            self.counters.add("nodes.over_sockets")
+            return None
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = Connection(sock, attempt.request.wire, attempt.address)
+        self._count += 1
+        self._busy[attempt] = (self._busy[attempt][0], connection)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(self.connect_s)
+            sock.connect(attempt.address)
+            sock.settimeout(None)
+        except OSError:
+            self.counters.add("nodes.connect_failed")
+            return None
+        self.counters.add("nodes.connected")
+        return connection
+
+    def _keep(self, attempt: Attempt, connection: Connection) -> None:
+        if self._busy.pop(attempt, None) is None:
+            return  # given up, and so closed, in the meantime
+        connection.used_at = time.monotonic()
+        self._idle.setdefault(attempt.node.name, deque()).append(connection)
+
+    def _drop(self, connection: Connection) -> None:
+        self._count -= 1
+        connection.end()
+
+    def _drop_oldest_idle(self) -> bool:
+        held = [(c[0].used_at, name) for name, c in self._idle.items() if c]
+        if not held:
+            return False
+        self._drop(self._idle[min(held)[1]].popleft())
+        return True
+
+    def _sweep(self) -> None:
+        """Drop idle connections well before the node does, and those that it has ended."""
+        while True:
+            gevent.sleep(SWEEP_S)
+            oldest = time.monotonic() - self.idle_s
+            for idle in self._idle.values():
+                for connection in [c for c in idle if c.used_at < oldest or not c.usable()]:
+                    idle.remove(connection)
+                    self._drop(connection)
--- /dev/null
+++ b/stackrouter/net/ring.py
@@ -0,0 +1,75 @@
+"""A bounded ring buffer: one for each direction of a connection."""
+
+from __future__ import annotations
+
+from gevent.socket import socket
+
+FIRST = 4096  # most connections never hold more; a ring grows by doubling, up to its bound
+
+
+class Ring:
+    def __init__(self, bound: int) -> None:
+        self.bound = bound
+        self._buffer = bytearray(min(FIRST, bound))
+        self._head = self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def room(self) -> int:
+        return self.bound - self._size
+
+    def put(self, data: bytes | memoryview) -> int:
+        """Take in as much as the bound allows; returns how much that was."""
+        count = min(len(data), self.room)
+        while self._size + count > len(self._buffer):
+            self._grow()
+        at = (self._head + self._size) % len(self._buffer)
+        first = min(count, len(self._buffer) - at)
+        self._buffer[at : at + first] = data[:first]
+        self._buffer[: count - first] = data[first:count]
+        self._size += count
+        return count
+
+    def peek(self, start: int, length: int) -> bytes:
+        """Up to `length` bytes from `start` on; they stay in the ring."""
+        length = max(0, min(length, self._size - start))
+        at = (self._head + start) % len(self._buffer)
+        first = min(length, len(self._buffer) - at)
+        return bytes(self._buffer[at : at + first] + self._buffer[: length - first])
+
+    def skip(self, length: int) -> None:
+        self._size -= length
+        self._head = (self._head + length) % len(self._buffer)
+        if not self._size:
+            self._head = 0
+            if len(self._buffer) > FIRST:
+                self._buffer = bytearray(FIRST)  # a large value must not keep its memory
+
+    def receive(self, sock: socket) -> int:
+        """One read into the free space; 0 at the end of the stream. The ring must not be full."""
+        if self._size == len(self._buffer):
+            self._grow()
+        at = (self._head + self._size) % len(self._buffer)
+        end = self._head if at < self._head else len(self._buffer)
+        buffer = self._buffer
+        with memoryview(buffer)[at:end] as free:
+            count = int(sock.recv_into(free))
+        self._size += count
+        return count
+
+    def send(self, sock: socket) -> int:
+        """One write of what is held; returns how much the socket took."""
+        with memoryview(self._buffer)[self._head : min(self._head + self._size, len(self._buffer))] as held:
+            count = int(sock.send(held))
+        self.skip(count)
+        return count
+
+    def _grow(self) -> None:
+        if len(self._buffer) >= self.bound:
+            raise BufferError("the ring is full")
+        held = self.peek(0, self._size)
+        self._buffer = bytearray(min(self.bound, 2 * len(self._buffer)))
+        self._buffer[: len(held)] = held
+        self._head = 0
