--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -694,7 +694,7 @@
             self._end(r)
 
     def _unsent(self, r: _Request) -> None:
-        """Danger: what waits past half its time is rarely sent at all, and its client hears it too late to act.
+        """Danger: what waits past half its time is rarely sent at all, and its client hears of it too late.
 
         Only a head whose tokens are about to suffice is held on.
         """
