--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+from collections.abc import Callable
 from functools import partial
 
 import gevent
@@ -17,17 +18,21 @@
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.fronts.platform.client import BUSY, Names, PlatformSession
+from stackrouter.fronts.sftp.client import SftpSession, Shared
+from stackrouter.fronts.sftp.config import SftpConfig
+from stackrouter.fronts.sftp.config import load as load_sftp
 from stackrouter.net.discovery import Discovery, Listing
-from stackrouter.net.listener import Listener
+from stackrouter.net.listener import Listener, Session
 from stackrouter.net.pool import Pool
 
 SERVE_ON_S = 0.5  # after SIGTERM clients still come for a while; before 0.7 s the door must be shut
 FINISH_STEP_S = 0.02
+FILES_PART = 4  # one in so many client sockets is kept for the SFTP front, while that is on
 EXIT_CONFIG = 2
 
 
 class Gateway:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, sftp: SftpConfig | None) -> None:
         self.counters = Counters()
         self.engine = Engine(config.settings, config.max_open, self.counters)
         self.pool = Pool(config.node_sockets, config.connect_timeout_us, config.keepalive_us, self.counters,
@@ -36,13 +41,23 @@
         listing = Listing(config.zones, config.kinds, clock_us())
         self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed)
         self.engine.fetch_list = self.discovery.refetch
-        version, _, entries, addresses = listing.read(config.known)
+        try:
+            version, _, entries, addresses = listing.read(config.known)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise ConfigError(f"known: {type(error).__name__}: {error}") from None
         self.engine.listed(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
         names = Names(config.classes, config.plans)
-        session = partial(PlatformSession, self.engine, names, self.counters)
-        self.listeners = [Listener(config.listen, config.client_sockets, self.counters, session, BUSY)]
+        session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
+        # The second front's clients come out of the same budget of sockets.
+        files = config.client_sockets // FILES_PART if sftp else 0
+        self.listeners = [
+            Listener(config.listen, config.client_sockets - files, self.counters, session, BUSY),
+        ]
+        if sftp is not None:
+            session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
+            self.listeners.append(Listener(sftp.listen, files, self.counters, session, b""))
         self._terminated = Event()
 
     def terminate(self) -> None:
@@ -57,14 +72,17 @@
         gevent.sleep(SERVE_ON_S)
         for listener in self.listeners:
             listener.stop()
-        while not self.engine.idle() or any(listener.connections for listener in self.listeners):
+        # A client that never reads its answer must not hold the exit until the platform kills the program.
+        until_us = clock_us() + max(c.deadline_us for c in self.engine.settings.classes)
+        while clock_us() < until_us and not (self.engine.idle() and all(li.idle() for li in self.listeners)):
             gevent.sleep(FINISH_STEP_S)
 
 
 def main() -> int:
     log.start()
     try:
-        gateway = Gateway(load())
+        config = load()
+        gateway = Gateway(config, load_sftp(config))
     except (ConfigError, OSError) as error:
         print(f"stackrouter: {error}", file=sys.stderr)
         return EXIT_CONFIG
--- a/stackrouter/fronts/platform/node.py
+++ b/stackrouter/fronts/platform/node.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 from rackseam.interface import Outcome
 from stackrouter.core.model import Inbox, Reply, Step
+from stackrouter.fronts.figures import reply_with
 from stackrouter.fronts.platform import resp
 
-USED, COST = "used", "cost"
-
 
 @dataclass(frozen=True, slots=True)
 class Command:
@@ -48,24 +46,8 @@
 def reply_of(value: resp.Value) -> Reply:
     match value:
         case [bytes(data), *figures]:
-            return _with_figures(Outcome.DONE, data, [f for f in figures if isinstance(f, bytes)])
+            return reply_with(Outcome.DONE, data, [f for f in figures if isinstance(f, bytes)])
         case resp.ErrorLine(text):
             word, *rest = text.encode().split(b" ")
-            return _with_figures(Outcome.FULL if word == b"BUSY" else Outcome.ERROR, None, rest)
+            return reply_with(Outcome.FULL if word == b"BUSY" else Outcome.ERROR, None, rest)
     return Reply(Outcome.ERROR)
-
-
-def _with_figures(outcome: Outcome, value: bytes | None, texts: list[bytes]) -> Reply:
-    """Figures on use and the load report come as `name=number,...` texts; what is unknown is skipped."""
-    figures: dict[str, float] = {}
-    for text in texts:
-        for pair in text.decode("ascii", "replace").split(","):
-            name, _, number = pair.partition("=")
-            try:
-                amount = float(number)
-            except ValueError:
-                continue
-            if math.isfinite(amount):
-                figures[name] = amount
-    used, cost = figures.pop(USED, None), figures.pop(COST, 0.0)
-    return Reply(outcome, value, None if used is None else round(used), max(0.0, cost), figures)
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -67,8 +67,11 @@
         self.session = listener.session(self._wake.set)
         self._greenlets = [gevent.spawn(self._guard, self._read), gevent.spawn(self._guard, self._write)]
 
+    def answered(self) -> bool:
+        return not self.session.pending() and not len(self.outbox)
+
     def idle(self) -> bool:
-        return not self.session.pending() and not len(self.outbox) and not len(self.inbox)
+        return self.answered() and not len(self.inbox)
 
     def stalled(self, now: float) -> bool:
         waits = len(self.outbox) or (len(self.inbox) and not self.session.full())
@@ -173,6 +176,10 @@
         for connection in list(self.connections):
             connection.wake()
 
+    def idle(self) -> bool:
+        """All that was taken is answered; half a request does not count as taken."""
+        return all(connection.answered() for connection in self.connections)
+
     def forget(self, connection: Connection) -> None:
         self.connections.discard(connection)
 
