Say in each refusal when to come back: after as long as the request has waited

Controller._pause: at least the tightest aim, at most MaxRetryAfterUs; 0, as before, where the settings name no longest time (the simulator's clients of this site hear none).

--- a/rackseam/benchlink.py
+++ b/rackseam/benchlink.py
@@ -125,6 +125,7 @@
         resend_free=rules.get("BudgetFree"),
         resend_ratio=rules.get("ResendRatio"),
         resend_span_us=rules.get("ResendSpanUs") or 0,
+        retry_after_most_us=(caps.get("MaxRetryAfterUs") or 0) if caps.get("RetryAfter") else 0,
     )
 
 
--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -52,7 +52,7 @@
 class _Request:
     def __init__(self, e: api.Arrival, cls: api.RequestClass, lane: _Lane, now: int, seq: int) -> None:
         self.id, self.cls, self.lane, self.seq = e.request, cls, lane, seq
-        self.units, self.key = e.units, e.key
+        self.units, self.key, self.since = e.units, e.key, now
         self.due_at, self.aim_at = now + e.grace_us, now + min(cls.aim_us, e.grace_us)
         self.attempts: list[tuple[_Node, int] | None] = []  # None once its outcome is known
         self.out, self.turn = 0, (self.aim_at, seq)
@@ -682,9 +682,13 @@
             return True
         return r.cls.effect is Effect.KEYED and r.cls.group == "all"
 
+    def _pause(self, r: _Request) -> int:
+        """When to come back: what stands in the queue now takes about as long as this one has waited."""
+        return min(self.s.retry_after_most_us, max(int(self.aim), self.now - r.since))
+
     def _end(self, r: _Request) -> None:
         if not r.over:
-            self.actions.append(api.Refuse(r.id) if self._refusable(r) else api.Fail(r.id))
+            self.actions.append(api.Refuse(r.id, self._pause(r)) if self._refusable(r) else api.Fail(r.id))
             self._finish(r)
 
     def _expire(self, r: _Request) -> None:
--- a/rackseam/interface.py
+++ b/rackseam/interface.py
@@ -126,6 +126,7 @@
     resend_free: float | None = None
     resend_ratio: float | None = None
     resend_span_us: int = 0
+    retry_after_most_us: int = 0  # the longest time a client may be told to stay away; 0: it is told nothing
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -136,7 +137,7 @@
             raise ValueError("position: must lie within gateways")
         _check(self, "max_units mean_units max_attempts", "step_us meter_us answer_slack_us ask_every_us "
                "drain_grace_us cold_share cold_us cold_bears_units fall_us tip_multiple key_rest_us "
-               "resend_free resend_ratio resend_span_us")  # fmt: skip
+               "resend_free resend_ratio resend_span_us retry_after_most_us")  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -5,7 +5,7 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from rackseam.benchlink import settings_of
@@ -68,7 +68,11 @@
     return Config(
         listen=address_of(environ.get("GW_LISTEN") or raw.get("listen"), "GW_LISTEN"),
         discovery=address_of(environ.get("GW_DISCOVERY") or raw.get("discovery"), "GW_DISCOVERY"),
-        settings=settings_of(conf, int(str(raw.get("seed") or "0"), 16)),
+        # On sockets a refusal can always say when to come back, whatever the simulator's clients hear.
+        settings=replace(
+            settings_of(conf, int(str(raw.get("seed") or "0"), 16)),
+            retry_after_most_us=int(caps.get("MaxRetryAfterUs") or 0),
+        ),
         known=raw.get("known") or {"index": 0, "snapshot": True, "endpoints": []},
         classes={p["Name"]: i for i, p in enumerate(conf["Profiles"])},
         plans={g["Name"]: i for i, g in enumerate(conf["Grades"])},
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -126,7 +126,8 @@
         grace = r.deadline_us - self._now
         if len(self.requests) >= self.max_open:
             self.counters.add("requests.over_max_open")
-            self._answer(r, Result(Verdict.REFUSED))
+            pause = min(min(c.aim_us for c in self.settings.classes), self.settings.retry_after_most_us)
+            self._answer(r, Result(Verdict.REFUSED, pause_us=pause))
             return
         self._made += 1
         r.id = str(self._made)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -1,8 +1,8 @@
 """Plays a recorded byte exchange against the real program: the one helper of the tests in tests/exchanges.
 
-A line is `WHO DOES WHAT`. WHO is a client (a, b, ...; f1, f2, ... speak to the SFTP front), a node (s1, s2) or
-the `gateway`. DOES: `>` sends, `<` must receive exactly this, `close`, `eof` (the other side has ended it),
-`next` (a node takes its next connection), `refuse` and `none` (a node listens no more; nothing has come to it),
+A line is `WHO DOES WHAT`. WHO is a client (a, b, ...; f1, ... speak to the SFTP front), a node (s1, s2) or
+`gateway`. DOES: `>` sends, `<` must receive exactly this, `close`, `eof` (the other side has ended it),
+`next` (a node takes its next connection), `refuse` (a node listens no more), `none` (nothing has come to it),
 `is STATE` (discovery says so, and the gateway has heard), `term`, `exit CODE`.
 
 WHAT: `resp WORDS` an array of bulk strings; `pkt TOKENS` a length-prefixed packet; else tokens. A token is
