--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -58,7 +58,8 @@
         self.out, self.turn = 0, (self.aim_at, seq)
         self.ran_at = -1  # when the first attempt that may have run was sent
         self.bound: _Node | None = None  # the node of that attempt: repeats stay within its group
-        self.paid = self.queued = self.late = self.over = self.began = False
+        self.held_until = now + int(e.grace_us * HELD_PART)
+        self.paid = self.queued = self.late = self.over = self.began = self.reached = False
 
 
 class _Node:
@@ -254,7 +255,7 @@
         if self.s.resend_ratio is not None:
             self.taken.append(self.now)
         self._at(r.due_at - self.margin, lambda: self._expire(r))
-        self._at(self.now + e.grace_us * HELD_PART, lambda: self._unsent(r))
+        self._at(r.held_until, lambda: self._unsent(r))
         if cls.ordered and e.key:
             chain = self.chains.setdefault(e.key, deque())
             chain.append(r)
@@ -660,6 +661,7 @@
             node.missed, node.missed_at = node.missed + 1, self.now
             if self.loss < LOSS_SHOWN or node.missed > 1:
                 self._learn(node, max(self._rtt(node), (self.now - sent_at) / self._size(r)))
+        r.reached = r.reached or outcome not in (Outcome.CONNECT_FAILED, Outcome.MOOT)
         if outcome not in NEVER_RAN and r.ran_at < 0:
             r.ran_at, r.bound = sent_at, node
         if outcome in STILL_RUNNING and r.key and r.cls.ordered:
@@ -672,6 +674,7 @@
                 self._end(r)
             else:
                 self._enqueue(r)
+                self._unsent(r)
         self._room_at(node)
 
     # --- final answers
@@ -702,9 +705,9 @@
 
         Only a head whose tokens are about to suffice is held on.
         """
-        if not r.over and not r.attempts:
-            if self._head(r.lane) is r and 0 < self._short(r) <= self.aim:
-                return
+        if r.over or r.out or r.reached or self.now < r.held_until:
+            return
+        if not (self._head(r.lane) is r and 0 < self._short(r) <= self.aim):
             self._end(r)
 
     def _cancel(self, r: _Request) -> None:
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -245,10 +245,8 @@
                 self.ends[who] = self.listening[who].accept()[0]
                 raise AssertionError("a connection has come")
             self.listening[who].settimeout(PATIENCE_S)
-        elif does == "close":
+        elif does in ("close", "next"):
             self.ends.pop(who).close()
-        elif does == "next":
-            self.ends.pop(who, None)
         elif does == "eof":
             assert (rest := self.receive(who, 1)) == b"", rest
         elif does == ">":
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from rackseam.interface import Refuse
+from rackseam.interface import Outcome, Refuse
 from tests.gateway import LIMITED_PLAN, MS, Gateway
 
 
@@ -17,6 +17,14 @@
         g.wait(99 * MS)
         self.assertEqual(g.finals("a"), [Refuse("a", 0)])
 
+    def test_an_attempt_that_is_out_at_half_of_the_time_is_waited_for(self) -> None:
+        for outcome, finals in ((Outcome.CONNECT_FAILED, [Refuse("a", 0)]), (Outcome.FULL, [])):
+            g = Gateway()
+            g.ask(name="a", grace_us=2_000 * MS)
+            g.wait(999 * MS)
+            g.answer("a", outcome)
+            self.assertEqual(g.finals("a"), finals)
+
     def test_a_head_whose_tokens_are_about_to_suffice_is_held_on(self) -> None:
         g = Gateway()
         g.ask(plan=LIMITED_PLAN, units=12.0, gateways=4, name="a")  # its tokens suffice after 1.6 s of 3 s
