Hold a head on past half of its time only if its node could take it now

A probe that logged each request ended by Controller._expire with nothing sent found two kinds: heads that _unsent had kept for their tokens and that then, late, found no idle node (89 kept, most of them never sent), and clients' retries that arrive with 1 to 3 ms left, which nothing can serve. Change: _unsent keeps a head only where _serve would send it as a late request now (_spare, used by both). Not done: the retries with no time left.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -528,14 +528,18 @@
                 continue
             if self._short(r) > 0:
                 return
-            node = self._node_for(shard, r)
-            if node is None or node.out_n or self._rtt(node) > self.aim * AIM_PART:
+            if (node := self._spare(shard, r)) is None:
                 return
             if r.attempts and not self._may_resend(r):
                 return
             heappop(shard.late)
             self._send(r, node)
 
+    def _spare(self, shard: _Shard, r: _Request) -> _Node | None:
+        """An idle and quick node, which a late request may have."""
+        node = self._node_for(shard, r)
+        return node if node and not node.out_n and self._rtt(node) <= self.aim * AIM_PART else None
+
     def _send_best(self, shard: _Shard, found: tuple[int, float, int, _Lane]) -> bool:
         lane = found[3]
         if lane.version != found[2]:
@@ -703,11 +707,12 @@
     def _unsent(self, r: _Request) -> None:
         """Danger: what waits past half its time is rarely sent at all, and its client hears of it too late.
 
-        Only a head whose tokens are about to suffice is held on.
+        Only a head whose tokens are about to suffice is held on, if its node could take it now.
         """
         if r.over or r.out or r.reached or self.now < r.held_until:
             return
-        if not (self._head(r.lane) is r and 0 < self._short(r) <= self.aim):
+        soon = self._head(r.lane) is r and 0 < self._short(r) <= self.aim
+        if not soon or self._spare(r.lane.shard, r) is None:
             self._end(r)
 
     def _cancel(self, r: _Request) -> None:
