Count the aim of a client's next try from its first, by the time it has left

Clients of this site mark no retries; what shows one is less time left than first tries have, so the longest time given in a class, at most its deadline, is kept (Controller.longest). Assumes that first tries of a class are given about the same time.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -50,10 +50,14 @@
 
 
 class _Request:
-    def __init__(self, e: api.Arrival, cls: api.RequestClass, lane: _Lane, now: int, seq: int) -> None:
+    def __init__(
+        self, e: api.Arrival, cls: api.RequestClass, lane: _Lane, now: int, seq: int, longest: int
+    ) -> None:
         self.id, self.cls, self.lane, self.seq = e.request, cls, lane, seq
         self.units, self.key, self.since = e.units, e.key, now
-        self.due_at, self.aim_at = now + e.grace_us, now + min(cls.aim_us, e.grace_us)
+        # A client's next try has less time than first tries have: what it wants within the aim began with its
+        # first. It must not take the room of requests that can still be in time.
+        self.due_at, self.aim_at = now + e.grace_us, now + min(cls.aim_us + e.grace_us - longest, e.grace_us)
         self.attempts: list[tuple[_Node, int] | None] = []  # None once its outcome is known
         self.out, self.turn = 0, (self.aim_at, seq)
         self.ran_at = -1  # when the first attempt that may have run was sent
@@ -124,6 +128,7 @@
         self.shards: dict[int, _Shard] = {}
         self.chains: dict[str, deque[_Request]] = {}
         self.rests: dict[str, int] = {}
+        self.longest: dict[int, int] = {}  # a class's longest time given: that of first tries
         self.taken: deque[int] = deque()
         self.resent: deque[int] = deque()
         self.list_wait, self.list_call = LIST_RETRY_US, 0
@@ -250,8 +255,10 @@
         volume.gateways = max(volume.gateways, e.gateways)
         shard = self.shards.setdefault(e.shard, _Shard(e.shard))
         lane = volume.lanes.setdefault(e.shard, _Lane(volume, shard))
+        longest = max(self.longest.get(e.request_class, 0), min(e.grace_us, cls.deadline_us))
+        self.longest[e.request_class] = longest
         self.seq += 1
-        r = self.requests[e.request] = _Request(e, cls, lane, self.now, self.seq)
+        r = self.requests[e.request] = _Request(e, cls, lane, self.now, self.seq, longest)
         if self.s.resend_ratio is not None:
             self.taken.append(self.now)
         self._at(r.due_at - self.margin, lambda: self._expire(r))
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -25,6 +25,22 @@
             g.answer("a", outcome)
             self.assertEqual(g.finals("a"), finals)
 
+    def test_a_next_try_does_not_take_the_room_of_requests_that_can_be_in_time(self) -> None:
+        g = Gateway()
+        for i in range(8):  # fills the node
+            g.ask(name=f"first{i}")
+        self.assertEqual(len(g.sends()), 4)
+        g.ask(name="next", grace_us=1_000 * MS)  # 2 s after its first try: far past the aim
+        g.ask(name="last")
+        for i in range(4):
+            g.answer(f"first{i}")
+        self.assertEqual([s.request for s in g.sends()[4:]], ["first4", "first5", "first6", "first7"])
+        for i in range(4, 8):
+            g.answer(f"first{i}")
+        self.assertEqual([s.request for s in g.sends()[8:]], ["last"])
+        g.answer("last")
+        self.assertEqual([s.request for s in g.sends()[9:]], ["next"])
+
     def test_a_head_whose_tokens_are_about_to_suffice_is_held_on(self) -> None:
         g = Gateway()
         g.ask(plan=LIMITED_PLAN, units=12.0, gateways=4, name="a")  # its tokens suffice after 1.6 s of 3 s
