Bound half-sent requests by time, false sizes and hosts by the settings, and errors in every loop

Checked by reading every place where a greenlet could end by an exception: an action that raised ended the engine's loop (Engine.step), an unlisted error ended discovery's (Discovery.run). Both log, count and go on. A client that sent a byte now and then was never found stalled (Connection.stalled): the time now counts from the first byte of the request. A false hosts field changed a volume's part of its limit for good; it and units are now held to Balancers and MaxUnits. New tests: sockets cap, silent discovery, ring, wheel, keys, bad configuration.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -48,7 +48,7 @@
         self.engine.listed(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
-        names = Names(config.classes, config.plans)
+        names = Names(config.classes, config.plans, config.settings.max_units, config.settings.gateways)
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
         # The second front's clients come out of the same budget of sockets.
         files = config.client_sockets // FILES_PART if sftp else 0
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -117,7 +117,11 @@
                 log.exception("decision module")
                 continue
             for action in actions:
-                self._carry_out(action)
+                try:
+                    self._carry_out(action)
+                except Exception:
+                    self.counters.add("errors.action")
+                    log.exception("action %s", type(action).__name__)
 
     # --- what came in
 
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -19,14 +18,17 @@
 READ, WRITE = b"BLK.READ", b"BLK.WRITE"
 BUSY = resp.error("BUSY")
 LONGEST_WAIT_MS = 3_600_000
+LONGEST_VOLUME = 64
 
 
 @dataclass(frozen=True, slots=True)
 class Names:
-    """The settings' names of classes and plans, by index."""
+    """The settings' names of classes and plans, by index, and the bounds of what a request may say."""
 
     classes: Mapping[str, int]
     plans: Mapping[str, int]
+    most_units: float
+    gateways: int
 
 
 class BadCommandError(Exception):
@@ -56,8 +58,9 @@
         raise BadCommandError("a field is not a number") from None
     if request_class not in names.classes or plan not in names.plans:
         raise BadCommandError("unknown class or plan")
-    sizes = math.isfinite(units) and units > 0 and gateways >= 1 and shard >= -1
-    if not sizes or not 0 < wait_ms <= LONGEST_WAIT_MS:
+    # Guards the volume: a false size or number of gateways would hold up all its requests.
+    sizes = 0 < units <= names.most_units and 1 <= gateways <= names.gateways and shard >= -1
+    if not sizes or not 0 < wait_ms <= LONGEST_WAIT_MS or len(volume) > LONGEST_VOLUME:
         raise BadCommandError("a field is out of range")
     command = Command(name, piece, request_id, tuple((key, value) for key, _, value in pairs), tuple(body))
     return Request(
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -23,8 +23,6 @@
 LARGEST = 4 << 20
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
-UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, httptools.HttpParserError)
-
 Told = Callable[[ListKind, int, Sequence[NodeEntry], dict[str, tuple[str, int]]], None]
 
 
@@ -84,16 +82,9 @@
         while True:
             try:
                 self._call()
-            except (
-                OSError,
-                ValueError,
-                KeyError,
-                TypeError,
-                AttributeError,
-                httptools.HttpParserError,
-            ) as error:
+            except Exception as error:  # whatever it sends, the gateway goes on with the list it has
                 self.counters.add("discovery.failed")
-                log.debug("discovery: %s", error)
+                log.warning("discovery: %s", error)
                 self._hang_up()
                 # After silence nobody knows what was missed.
                 self._index = None
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -61,8 +61,8 @@
     def __init__(self, sock: socket.socket, listener: Listener) -> None:
         self.sock, self.listener = sock, listener
         self.inbox, self.outbox = Ring(INBOX), Ring(OUTBOX)
-        self.active_at = self.stalled_since = time.monotonic()
-        self.ending = self.closed = False
+        self.active_at = self.half_since = time.monotonic()
+        self.ending = self.closed = self._half = False
         self._wake, self._room = Event(), Event()
         self.session = listener.session(self._wake.set)
         self._greenlets = [gevent.spawn(self._guard, self._read), gevent.spawn(self._guard, self._write)]
@@ -74,8 +74,9 @@
         return self.answered() and not len(self.inbox)
 
     def stalled(self, now: float) -> bool:
-        waits = len(self.outbox) or (len(self.inbox) and not self.session.full())
-        return bool(waits) and now - self.active_at > STALL_S
+        """Guards against clients that never finish a request, or never read an answer."""
+        half = len(self.inbox) > 0 and not self.session.full() and now - self.half_since > STALL_S
+        return half or (len(self.outbox) > 0 and now - self.active_at > STALL_S)
 
     def close(self) -> None:
         if self.closed:
@@ -109,13 +110,17 @@
                 self._room.wait()
             elif not self.inbox.receive(self.sock):
                 return
-            self.active_at = time.monotonic()
+            held = len(self.inbox)
             try:
                 self.session.received(self.inbox)
             except MalformedError as error:
                 self.listener.counters.add("clients.malformed")
                 self._farewell(error.farewell)
                 return
+            self.active_at = time.monotonic()
+            if len(self.inbox) < held or not self._half:  # a request was taken, or a new one has begun
+                self.half_since = self.active_at
+            self._half = len(self.inbox) > 0
 
     def _farewell(self, data: bytes) -> None:
         """What was taken before is answered first; then the reason, then the end."""
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -3,7 +3,8 @@
 A line is `WHO DOES WHAT`. WHO is a client (a, b, ...; f1, ... speak to the SFTP front), a node (s1, s2) or
 `gateway`. DOES: `>` sends, `<` must receive exactly this, `close`, `eof` (the other side has ended it),
 `next` (a node takes its next connection), `refuse` (a node listens no more), `none` (nothing has come to it),
-`is STATE` (discovery says so, and the gateway has heard), `term`, `exit CODE`.
+`is STATE` (discovery says so and is heard), `counts TEXT` (in its counters), `term`, `exit CODE`.
+The first line, a comment, may set `sockets=N` and `discovery=silent`.
 
 WHAT: `resp WORDS` an array of bulk strings; `pkt TOKENS` a length-prefixed packet; else tokens. A token is
 "text", u8:N, u32:N, u64:N, s:TEXT (a string with its length), fill:N (N bytes), ~N (any N bytes) or ?NAME:N
@@ -22,6 +23,7 @@
 import sys
 import tempfile
 import threading
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -82,10 +84,10 @@
 class Discovery(ThreadingHTTPServer):
     daemon_threads = True
 
-    def __init__(self, entries: list[dict[str, Any]]) -> None:
+    def __init__(self, entries: list[dict[str, Any]], silent: bool) -> None:
         super().__init__(("127.0.0.1", 0), Answers)
         self.entries, self.changed, self.version, self.heard = entries, [""], 1, 0
-        self.news = threading.Condition()
+        self.news, self.silent = threading.Condition(), silent
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def answer(self, after: int | None) -> dict[str, Any]:
@@ -113,6 +115,8 @@
     server: Discovery
 
     def do_GET(self) -> None:  # noqa: N802
+        if self.server.silent:
+            return
         index = parse_qs(urlparse(self.path).query).get("index")
         body = json.dumps(self.server.answer(int(index[0]) if index else None)).encode()
         with contextlib.suppress(OSError):
@@ -175,7 +179,9 @@
              "status": "up", "weight": 1.0, "since_ms": 0}
             for name, sock in self.listening.items()
         ]  # fmt: skip
-        self.discovery = Discovery(entries)
+        first = script.read_text().splitlines()[0]
+        self.head = dict(pair.split("=") for pair in first.split() if "=" in pair)
+        self.discovery = Discovery(entries, silent="discovery" in self.head)
         self.listen, self.sftp = free_address(), free_address()
 
     def __enter__(self) -> Player:
@@ -185,7 +191,7 @@
             "listen": self.listen,
             "discovery": "{}:{}".format(*self.discovery.server_address),
             "seed": "7",
-            "limits": {"memory_mb": 192, "sockets": 1024},
+            "limits": {"memory_mb": 192, "sockets": int(self.head.get("sockets", "1024"))},
             "known": {"index": 1, "snapshot": True, "endpoints": self.discovery.entries},
             "settings": SETTINGS,
         }
@@ -235,6 +241,12 @@
             self.discovery.say(who, what)
         elif does == "term":
             self.program.send_signal(signal.SIGTERM)
+        elif does == "counts":
+            self.program.send_signal(signal.SIGUSR1)
+            until = time.monotonic() + PATIENCE_S
+            while not any(what in line for line in self.log):
+                assert time.monotonic() < until, "not counted"
+                time.sleep(0.01)
         elif does == "exit":
             assert self.program.wait(PATIENCE_S) == int(what), self.program.returncode
         elif does == "refuse":
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,105 @@
+"""The parts that need no wire: ring, wheel, keys of writes, and a configuration that is no good."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from gevent.socket import socket as gevent_socket
+
+from stackrouter.core.wheel import SLOTS, Wheel
+from stackrouter.fronts.sftp.keys import EXISTENCE, WHOLE, Keys
+from stackrouter.net.ring import Ring
+
+
+class Parts(unittest.TestCase):
+    def test_a_ring_keeps_the_order_round_its_end_and_its_bound(self) -> None:
+        ring, expected = Ring(10_000), b""
+        for i in range(200):
+            data = bytes([i]) * 777
+            expected += data[: ring.put(data)]
+            self.assertLessEqual(len(ring), 10_000)
+            self.assertEqual(ring.peek(0, len(ring)), expected)
+            ring.skip(500)
+            expected = expected[500:]
+        self.assertEqual(ring.put(b"x" * 20_000), ring.bound - len(expected))
+
+    def test_a_ring_receives_and_sends_across_its_end(self) -> None:
+        left, right = socket.socketpair()
+        ring, data = Ring(8192), os.urandom(50_000)
+        self.addCleanup(left.close)
+        sink = gevent_socket(fileno=right.detach())
+        self.addCleanup(sink.close)
+        out = Ring(8192)
+        taken = b""
+        for at in range(0, len(data), 5000):
+            left.sendall(data[at : at + 5000])
+            while len(ring) < 5000:
+                ring.receive(sink)
+            out.put(ring.peek(0, 5000))
+            ring.skip(5000)
+            while len(out):
+                out.send(sink)
+            while len(taken) < at + 5000:
+                taken += left.recv(5000)
+        self.assertEqual(taken, data)
+
+    def test_a_wheel_runs_each_timer_once_on_the_first_tick_after_its_time(self) -> None:
+        wheel, ran = Wheel(2000, 0), []
+        for due in (1, 2000, 2001, 2000 * SLOTS + 1, 5000 * SLOTS):
+            wheel.add(due, lambda due=due: ran.append(due))  # type: ignore[misc]
+        wheel.add(3000, lambda: ran.append(-1)).drop()
+        for now in range(0, 5002 * SLOTS, 1000):
+            for call in wheel.advance(now):
+                before = len(ran)
+                call()
+                self.assertEqual(len(ran), before + 1)
+                self.assertTrue(ran[-1] <= now < ran[-1] + 4000, (ran[-1], now))
+        self.assertEqual(ran, [1, 2000, 2001, 2000 * SLOTS + 1, 5000 * SLOTS])
+        self.assertIsNone(wheel.wait_us(0))
+
+    def test_a_wheel_that_was_not_turned_for_long_runs_all_that_fell_due(self) -> None:
+        wheel, ran = Wheel(2000, 0), []
+        wheel.add(9_000_000, lambda: ran.append(2))
+        wheel.add(4000, lambda: ran.append(1))
+        for call in wheel.advance(60_000_000):
+            call()
+        self.assertEqual(ran, [1, 2])
+
+    def test_a_resent_upload_keeps_its_keys_and_a_change_made_anew_does_not(self) -> None:
+        keys = Keys(3_000_000)
+
+        def upload(*parts: bytes) -> list[str]:
+            made = [keys.key(b"/f", b"open", EXISTENCE, 0)]
+            return made + [keys.key(b"/f", b"%d " % i + p, (i, i + 1), 0) for i, p in enumerate(parts)]
+
+        whole = upload(b"a", b"b")
+        self.assertEqual(upload(b"a", b"b"), whole)
+        self.assertEqual(len({*whole, *upload(b"a", b"c")}), 4)
+        back = upload(b"a", b"b")
+        self.assertEqual(back[:2], whole[:2])
+        self.assertNotIn(back[2], whole)  # b was overwritten by c: this is no repeat
+        keys.key(b"/f", b"remove", WHOLE, 0)
+        anew = upload(b"a", b"b")
+        self.assertFalse({*anew} & {*whole, *back})
+        self.assertNotEqual(keys.key(b"/g", b"open", EXISTENCE, 0), whole[0])
+
+    def test_a_bad_configuration_is_one_line_and_exit_code_2(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "config.json"
+            file.write_text('{"listen": "127.0.0.1:0", "discovery": "nowhere", "settings": {}}')
+            for environ in ({}, {"GW_CONFIG": folder + "/none"}, {"GW_CONFIG": str(file)}):
+                done = subprocess.run(
+                    [sys.executable, "-m", "stackrouter"],
+                    env=environ,
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                )
+                self.assertEqual((done.returncode, done.stderr.count("\n")), (2, 1), done.stderr)
+                self.assertTrue(done.stderr.startswith("stackrouter: "))
