--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -75,7 +75,6 @@
     shard: int
     gateways: int
     key: str
-    arrived_us: int
     deadline_us: int
     exchange: Callable[[], Exchange]
     answer: Callable[[Result], None]
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -71,7 +71,6 @@
         shard=shard,
         gateways=gateways,
         key=piece.decode("ascii", "replace"),
-        arrived_us=now,
         deadline_us=now + wait_ms * 1000,
         exchange=command.exchange,
         answer=answer,
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -183,7 +183,6 @@
                 shard=volume.shard,
                 gateways=volume.gateways,
                 key=path,
-                arrived_us=now,
                 deadline_us=now + wait_us,
                 exchange=operation.exchange,
                 answer=lambda result: self._done(job, result),
