Let the exchange on the order of requests for one file fail where they are not ordered

Seen by taking Job.after out: the exchange passed. A trace showed the second packet submitted 2 ms late, when the first was answered: the test's client held it back (Nagle's algorithm). It now sends at once.

--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -276,6 +276,8 @@
                 host, port = (self.sftp if who.startswith("f") else self.listen).split(":")
                 self.ends[who] = socket.create_connection((host, int(port)))
             self.ends[who].settimeout(PATIENCE_S)
+            # Two sends in a row must both be on their way before the next line.
+            self.ends[who].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return self.ends[who]
 
     def literal(self, part: Part) -> bytes:
