--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -14,7 +14,7 @@
 
 from rackseam.interface import ListKind
 from stackrouter import log
-from stackrouter.config import Config, ConfigError, load
+from stackrouter.config import Config, ConfigError, load, reload
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.fronts.platform.client import BUSY, Names, PlatformSession
@@ -30,6 +30,8 @@
 FILES_PART = 4  # one in so many client sockets is kept for the SFTP front, while that is on
 EXIT_CONFIG = 2
 
+logger = logging.getLogger(__name__)
+
 
 class Gateway:
     def __init__(self, config: Config, sftp: SftpConfig | None) -> None:
@@ -50,16 +52,34 @@
         gevent.spawn(self.discovery.run)
         names = Names(config.classes, config.plans, config.settings.max_units, config.settings.gateways)
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
-        # The second front's clients come out of the same budget of sockets.
-        files = config.client_sockets // FILES_PART if sftp else 0
-        self.listeners = [
-            Listener(config.listen, config.client_sockets - files, self.counters, session, BUSY),
-        ]
+        self.listeners = [Listener(config.listen, 0, self.counters, session, BUSY)]
         if sftp is not None:
             session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
-            self.listeners.append(Listener(sftp.listen, files, self.counters, session, b""))
+            self.listeners.append(Listener(sftp.listen, 0, self.counters, session, b""))
+        self._limit(config)
         self._terminated = Event()
 
+    def _limit(self, config: Config) -> None:
+        self.engine.max_open = config.max_open
+        self.pool.most = config.node_sockets
+        # The second front's clients come out of the same budget of sockets.
+        files = config.client_sockets // FILES_PART if len(self.listeners) > 1 else 0
+        for listener, most in zip(self.listeners, (config.client_sockets - files, files), strict=False):
+            listener.most = most
+
+    def reload(self) -> None:
+        """Read the configuration file again; one that cannot be used changes nothing."""
+        try:
+            config = reload()
+        except ConfigError as error:
+            self.counters.add("reloads.failed")
+            logger.warning("keeping the old configuration: %s", error)
+            return
+        self.counters.add("reloads.done")
+        self._limit(config)
+        self.discovery.move(config.discovery)
+        logger.info("configuration read again: discovery at %s:%d", *config.discovery)
+
     def terminate(self) -> None:
         self._terminated.set()
 
@@ -79,6 +99,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the file has been read, there is nothing to reload
     log.start()
     try:
         config = load()
@@ -88,9 +109,10 @@
         return EXIT_CONFIG
     gevent.signal_handler(signal.SIGTERM, gateway.terminate)
     gevent.signal_handler(signal.SIGINT, gateway.terminate)
+    gevent.signal_handler(signal.SIGHUP, gateway.reload)
     gevent.signal_handler(signal.SIGUSR1, gateway.print_counters)
     gc.freeze()  # what is loaded now stays: a collection need not look at it
-    logging.getLogger(__name__).info("listening on %s:%d", *gateway.listeners[0].address)
+    logger.info("listening on %s:%d", *gateway.listeners[0].address)
     gateway.serve()
     gateway.print_counters()
     return 0
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -60,6 +60,11 @@
         raise ConfigError(f"GW_CONFIG: {type(error).__name__}: {error}") from None
 
 
+def reload(environ: Mapping[str, str] = os.environ) -> Config:
+    """The file as it is now. What it says of discovery is newer than the GW_DISCOVERY of the start."""
+    return load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+
+
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     conf = raw["settings"]
     caps, limits = conf.get("Caps") or {}, raw.get("limits") or {}
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -11,6 +11,7 @@
 import gevent
 import httptools
 from gevent import socket
+from gevent.event import Event
 
 from rackseam.interface import ListKind, NodeEntry, NodeState
 from stackrouter.core.counters import Counters
@@ -74,26 +75,39 @@
         self.address, self.listing, self.counters, self.told = address, listing, counters, told
         self._sock: socket.socket | None = None
         self._index: int | None = None  # None: the next call fetches the whole list
+        self._moved = Event()
 
     def refetch(self) -> None:
         self._index = None
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask there from now on: the pending watch is broken off and the whole list fetched at once."""
+        self.address = address
+        self._index = None
+        self._moved.set()
+        self._hang_up()
+
     def run(self) -> None:
         while True:
             try:
                 self._call()
             except Exception as error:  # whatever it sends, the gateway goes on with the list it has
+                if self._moved.is_set():
+                    continue  # its watch was broken off
                 self.counters.add("discovery.failed")
                 log.warning("discovery: %s", error)
                 self._hang_up()
                 # After silence nobody knows what was missed.
                 self._index = None
-                gevent.sleep(RETRY_S)
+                self._moved.wait(RETRY_S)
 
     def _call(self) -> None:
+        self._moved.clear()
         index = self._index
         query = "" if index is None else f"?index={index}&wait={WAIT_MS}"
         raw = json.loads(self._get(f"/v1/endpoints{query}", ANSWER_S + (WAIT_MS / 1000 if query else 0)))
+        if self._moved.is_set():
+            return  # the old address's answer: its version means nothing at the new one
         version, whole, entries, addresses = self.listing.read(raw)
         if whole or entries:
             self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
@@ -102,18 +116,17 @@
 
     def _get(self, path: str, within_s: float) -> bytes:
         with gevent.Timeout(within_s, TimeoutError("discovery is silent")):
-            if self._sock is None:
+            sock = self._sock
+            if sock is None:
                 sock = self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 sock.connect(self.address)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             host = f"{self.address[0]}:{self.address[1]}"
-            self._sock.sendall(
-                f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
-            )
+            sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
             response = _Response()
             parser = httptools.HttpResponseParser(response)
             while not response.whole:
-                data = self._sock.recv(65536)
+                data = sock.recv(65536)
                 if not data:
                     raise ConnectionResetError("discovery ended the connection")
                 parser.feed_data(data)
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -3,7 +3,8 @@
 A line is `WHO DOES WHAT`. WHO is a client (a, b, ...; f1, ... speak to the SFTP front), a node (s1, s2) or
 `gateway`. DOES: `>` sends, `<` must receive exactly this, `close`, `eof` (the other side has ended it),
 `next` (a node takes its next connection), `refuse` (a node listens no more), `none` (nothing has come to it),
-`is STATE` (discovery says so and is heard), `counts TEXT` (in its counters), `term`, `exit CODE`.
+`is STATE` (discovery says so and is heard), `counts TEXT`, `logs TEXT`, `term`, `exit CODE`,
+`reload` (discovery moves, the file says so, SIGHUP; returns once the gateway asks there), `reload bad`.
 The first line, a comment, may set `sockets=N` and `discovery=silent`.
 
 WHAT: `resp WORDS` an array of bulk strings; `pkt TOKENS` a length-prefixed packet; else tokens. A token is
@@ -184,12 +185,13 @@
         first = script.read_text().splitlines()[0]
         self.head = dict(pair.split("=") for pair in first.split() if "=" in pair)
         self.discovery = Discovery(entries, silent="discovery" in self.head)
+        self.old: list[Discovery] = []
         self.listen, self.sftp = free_address(), free_address()
 
     def __enter__(self) -> Player:
         self.folder = tempfile.TemporaryDirectory()
         folder = Path(self.folder.name)
-        config = {
+        self.config = {
             "listen": self.listen,
             "discovery": "{}:{}".format(*self.discovery.server_address),
             "seed": "7",
@@ -197,7 +199,7 @@
             "known": {"index": 1, "snapshot": True, "endpoints": self.discovery.entries},
             "settings": SETTINGS,
         }
-        (folder / "config.json").write_text(json.dumps(config))
+        (folder / "config.json").write_text(json.dumps(self.config))
         (folder / "sftp.toml").write_text(SFTP.format(listen=self.sftp))
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
         environ |= {"GW_CONFIG": str(folder / "config.json"), "GW_SFTP": str(folder / "sftp.toml")}
@@ -220,8 +222,9 @@
             self.program.stderr.close()
         for sock in (*self.ends.values(), *self.listening.values()):
             sock.close()
-        self.discovery.shutdown()
-        self.discovery.server_close()
+        for discovery in (self.discovery, *self.old):
+            discovery.shutdown()
+            discovery.server_close()
         self.folder.cleanup()
 
     def play(self) -> None:
@@ -243,11 +246,14 @@
             self.discovery.say(who, what)
         elif does == "term":
             self.program.send_signal(signal.SIGTERM)
-        elif does == "counts":
-            self.program.send_signal(signal.SIGUSR1)
+        elif does == "reload":
+            self.reload(what)
+        elif does in ("counts", "logs"):
+            if does == "counts":
+                self.program.send_signal(signal.SIGUSR1)
             until = time.monotonic() + PATIENCE_S
             while not any(what in line for line in self.log):
-                assert time.monotonic() < until, "not counted"
+                assert time.monotonic() < until, "not there"
                 time.sleep(0.01)
         elif does == "exit":
             assert self.program.wait(PATIENCE_S) == int(what), self.program.returncode
@@ -270,6 +276,22 @@
         else:
             raise AssertionError(f"no such thing: {does}")
 
+    def reload(self, what: str) -> None:
+        file = Path(self.folder.name) / "config.json"
+        if what == "bad":
+            file.write_text('{"settings"')
+        else:
+            self.old.append(self.discovery)
+            self.discovery = Discovery(self.discovery.entries, silent=False)
+            file.write_text(
+                json.dumps(self.config | {"discovery": "{}:{}".format(*self.discovery.server_address)})
+            )
+        self.program.send_signal(signal.SIGHUP)
+        with self.discovery.news:
+            if what != "bad":
+                heard = self.discovery.news.wait_for(lambda: self.discovery.heard, PATIENCE_S)
+                assert heard, "nothing asked at the new address"
+
     def end(self, who: str) -> socket.socket:
         if who not in self.ends:
             if who in self.listening:
