Take a spoilt answer or one broken connection for no dead node; reuse only exact answers

Each became RESET (platform/node.py raised ConnectionAbortedError), and control.py _answer put the node to rest for 0.75 to 1.25 aims after any RESET or CONNECT_FAILED; with one node a shard nothing else can serve it in that time. Now: what cannot be read is ERROR (it may have run, the node is there); a node is silent after the second broken or refused connection without an answer between; causes of our own (no socket, drained, never written, an idle connection that had ended) are MOOT. Only an exact answer leaves its connection in use, and that only 2 ms later, so that what follows an answer cannot meet the next request. Figures outside 0 to 1e6 are skipped. The wheel's timers let go of answered requests; the pool forgets nodes that are gone. Ruled out: RTT with connecting in it, 1482 connections over 8000 attempts at 1 to 3 ms each.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -72,6 +72,7 @@
         self.out_n = self.missed = self.missed_at = self.sent_at = self.done_at = 0
         self.out_units, self.rate, self.rate_at, self.rtt, self.rtt_at = 0.0, 0.0, 0, 0.0, 0
         self.alive_at = self.alone_until = self.wake_at = 0
+        self.broken = False  # a connection has broken since the last answer
         self.trial_wait = 0.0  # above 0 while the node counts as silent
         self.sent: deque[tuple[int, float]] = deque()  # what went there within the fall span
         self.served: deque[tuple[int, float]] = deque()  # ... and what it served of ours
@@ -620,7 +621,7 @@
         return 1 - SIZE_PART + SIZE_PART * r.units / self.s.mean_units
 
     def _heard(self, node: _Node, rtt_us: float) -> None:
-        node.alive_at, node.trial_wait, node.missed = self.now, 0.0, 0
+        node.alive_at, node.trial_wait, node.missed, node.broken = self.now, 0.0, 0, False
         if rtt_us:
             self._learn(node, rtt_us)
 
@@ -667,7 +668,11 @@
         elif outcome is Outcome.FULL:
             self._rest(node, self.aim * FULL_REST_AIMS * (0.5 + self.random.random()))
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
-            self._silence(node)
+            if node.broken:
+                self._silence(node)
+            node.broken = True  # one broken connection is no dead node: the next attempt tells
+        elif outcome is Outcome.MOOT and not e.closed:
+            self._rest(node, self.aim * FULL_REST_AIMS * (0.5 + self.random.random()))
         elif outcome is Outcome.TIMEOUT:
             node.missed, node.missed_at = node.missed + 1, self.now
             if self.loss < LOSS_SHOWN or node.missed > 1:
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -39,6 +39,7 @@
 )
 from stackrouter.core.counters import Counters
 from stackrouter.core.model import Attempt, Node, Reply, Request, Result, Transport, Verdict
+from stackrouter.core.wheel import Timer as WheelTimer
 from stackrouter.core.wheel import Wheel
 
 log = logging.getLogger(__name__)
@@ -50,6 +51,12 @@
     return time.monotonic_ns() // 1000
 
 
+def drop(timer: WheelTimer | None) -> None:
+    """What is over must not be held, with its body, until its timer comes round."""
+    if timer is not None:
+        timer.drop()
+
+
 class Engine:
     def __init__(self, settings: Settings, max_open: int, counters: Counters) -> None:
         self.settings, self.max_open, self.counters = settings, max_open, counters
@@ -142,7 +149,7 @@
         self.requests[r.id] = r
         # Backstop: whatever goes wrong in between, the request gets its answer within the slack.
         overdue = r.deadline_us + self.settings.answer_slack_us // 2
-        self._wheel.add(overdue, lambda: self._overdue(r))
+        r.backstop = self._wheel.add(overdue, lambda: self._overdue(r))
         self._events.append(arrival)
 
     def _overdue(self, r: Request) -> None:
@@ -184,6 +191,7 @@
             return  # given up before: its outcome is told already
         r, served = attempt.request, reply.outcome is Outcome.DONE
         attempt.live = False
+        drop(attempt.timeout)
         del r.out[attempt.number]
         self.counters.add(f"attempts.{reply.outcome.value}")
         closed = served or r.answered
@@ -202,9 +210,9 @@
         if attempt.live:
             if self.transport:
                 self.transport.give_up(attempt)
-            # Nothing written whole: the node never saw it, whoever lost patience.
+            # Nothing written whole: the node never saw it, and what it does is as unknown as before.
             never_ran = outcome is Outcome.TIMEOUT and not attempt.may_have_run
-            self._ended(attempt, Reply(Outcome.CONNECT_FAILED if never_ran else outcome))
+            self._ended(attempt, Reply(Outcome.MOOT if never_ran else outcome))
 
     def _answer(self, r: Request, result: Result) -> None:
         if r.answered:
@@ -216,6 +224,7 @@
 
     def _forget(self, r: Request) -> None:
         if r.answered and not r.out:
+            drop(r.backstop)
             self.requests.pop(r.id, None)
 
     # --- what the module wants
@@ -261,5 +270,5 @@
         deadline = min(r.deadline_us, self._now + timeout_us) if timeout_us else r.deadline_us
         attempt = r.out[number] = Attempt(r, number, node, self._now, deadline)
         self.counters.add("attempts.started")
-        self._wheel.add(deadline, lambda: self._give_up(attempt, Outcome.TIMEOUT))
+        attempt.timeout = self._wheel.add(deadline, lambda: self._give_up(attempt, Outcome.TIMEOUT))
         self.transport.start(attempt)
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from rackseam.interface import NodeState, Outcome
+from stackrouter.core.wheel import Timer
 
 
 class Verdict(Enum):
@@ -27,13 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """How a node answered an attempt."""
+    """How a node answered an attempt. `exact`: to the letter, so that its connection can carry the next."""
 
     outcome: Outcome
     value: Any = None
     used_percent: int | None = None
     elsewhere_units: float = 0.0
     report: Mapping[str, float] = field(default_factory=dict)
+    exact: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +89,7 @@
     attempts: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     answered: bool = False
+    backstop: Timer | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -112,6 +115,7 @@
     deadline_us: int
     live: bool = True
     may_have_run: bool = False
+    timeout: Timer | None = None
 
     def may_write(self) -> bool:
         """Guards the first byte: the list may have changed, or the client gone, while it connected."""
--- a/stackrouter/fronts/figures.py
+++ b/stackrouter/fronts/figures.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -12,8 +11,11 @@
 USED, COST = "used", "cost"
 
 
-def reply_with(outcome: Outcome, value: Any, texts: Iterable[bytes]) -> Reply:
-    """A reply with the figures of `name=number,...` texts; what is no figure is skipped."""
+MOST = 1e6  # no node tells more: such a figure is noise
+
+
+def reply_with(outcome: Outcome, value: Any, texts: Iterable[bytes], exact: bool) -> Reply:
+    """A reply with the figures of `name=number,...` texts; what cannot be one is skipped."""
     figures: dict[str, float] = {}
     for text in texts:
         for pair in text.decode("ascii", "replace").split(","):
@@ -22,7 +24,7 @@
                 amount = float(number)
             except ValueError:
                 continue
-            if math.isfinite(amount):
+            if 0 <= amount <= MOST:
                 figures[name] = amount
     used, cost = figures.pop(USED, None), figures.pop(COST, 0.0)
-    return Reply(outcome, value, None if used is None else round(used), max(0.0, cost), figures)
+    return Reply(outcome, value, None if used is None else round(used), cost, figures, exact)
--- a/stackrouter/fronts/platform/node.py
+++ b/stackrouter/fronts/platform/node.py
@@ -39,15 +39,20 @@
         try:
             found = resp.parse(inbox)
         except resp.ProtocolError:
-            raise ConnectionAbortedError("the node broke the protocol") from None
+            return Reply(Outcome.ERROR)  # spoilt on its way: the node is there, and has run it
         return None if found is None else reply_of(found[0])
 
 
 def reply_of(value: resp.Value) -> Reply:
     match value:
         case [bytes(data), *figures]:
-            return reply_with(Outcome.DONE, data, [f for f in figures if isinstance(f, bytes)])
+            texts = [f for f in figures if isinstance(f, bytes)]
+            exact = len(figures) == 2 and all(f is None or isinstance(f, bytes) for f in figures)
+            return reply_with(Outcome.DONE, data, texts, exact)
         case resp.ErrorLine(text):
-            word, *rest = text.encode().split(b" ")
-            return reply_with(Outcome.FULL if word == b"BUSY" else Outcome.ERROR, None, rest)
+            match text.encode().split(b" "):
+                case [b"BUSY", *rest]:
+                    return reply_with(Outcome.FULL, None, rest, True)
+                case [b"ERR", b"failed", *rest]:
+                    return reply_with(Outcome.ERROR, None, rest, True)
     return Reply(Outcome.ERROR)
--- a/stackrouter/fronts/sftp/node.py
+++ b/stackrouter/fronts/sftp/node.py
@@ -60,7 +60,7 @@
             reply: Reply = end.value
             return reply
         except packets.PacketError:
-            raise ConnectionAbortedError("the node broke the protocol") from None
+            return Reply(Outcome.ERROR)  # spoilt on its way: the node is there, and may have run it
 
     def _step(self, kind: Type, body: bytes, effective: bool = True) -> Step:
         self._id += 1
@@ -80,7 +80,7 @@
         elif status_of(taken) is None:
             raise packets.PacketError("neither a reply nor a status")
         elif is_busy(taken):
-            return Reply(Outcome.FULL)
+            return Reply(Outcome.FULL, exact=True)
         if operation.type == Type.OPENDIR:
             answer = yield from self._list()
         elif operation.open_flags:
@@ -89,7 +89,7 @@
             answer = yield self._step(operation.type, string(operation.path) + operation.rest)
         # FAILURE says nothing of what was done; the other statuses are answers.
         failed = status_of(answer) == Status.FAILURE
-        return reply_with(Outcome.ERROR if failed else Outcome.DONE, answer, figures)
+        return reply_with(Outcome.ERROR if failed else Outcome.DONE, answer, figures, True)
 
     def _with_handle(self) -> Generator[Step, Packet, Packet]:
         operation = self._operation
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -13,7 +13,7 @@
 import gevent
 from gevent import GreenletExit, socket
 
-from rackseam.interface import Outcome
+from rackseam.interface import NodeState, Outcome
 from stackrouter.core.counters import Counters
 from stackrouter.core.model import Attempt, Reply, Step
 from stackrouter.net.ring import Ring
@@ -21,6 +21,9 @@
 log = logging.getLogger(__name__)
 
 LARGEST_REPLY = 160 * 1024  # a value of 64 KiB, its framing and reports, with room to spare
+SETTLE_S = (
+    0.002  # more may come right behind an answer than belongs to it: so long nothing is written after it
+)
 IDLE_PART = 0.4  # part of the node's keep-alive for which an idle connection is trusted
 SWEEP_S = 0.5  # how often idle connections are looked over
 
@@ -86,7 +89,7 @@
         except Exception:
             self.counters.add("errors.attempt")
             log.exception("attempt at %s", attempt.node.name)
-            reply = Reply(Outcome.RESET if attempt.may_have_run else Outcome.CONNECT_FAILED)
+            reply = Reply(Outcome.RESET if attempt.may_have_run else Outcome.MOOT)
         _, connection = self._busy.pop(attempt, (None, None))
         if connection is not None:
             self._drop(connection)
@@ -95,14 +98,15 @@
     def _exchange(self, attempt: Attempt) -> Reply:
         connection, fresh = self._take_idle(attempt), False
         if connection is None:
-            connection, fresh = self._connect(attempt), True
-        if connection is None:
-            return Reply(Outcome.CONNECT_FAILED)
+            opened, fresh = self._connect(attempt), True
+            if isinstance(opened, Outcome):
+                return Reply(opened)
+            connection = opened
         if not attempt.may_write():
             # Guards the drain rule: the node was told to be draining or gone while this waited.
             self.counters.add("attempts.not_written")
             self._keep(attempt, connection)
-            return Reply(Outcome.CONNECT_FAILED)
+            return Reply(Outcome.MOOT)
         exchange = attempt.request.exchange()
         wait_us = max(0, attempt.deadline_us - time.monotonic_ns() // 1000)
         try:
@@ -110,38 +114,54 @@
             while not isinstance(step, Reply):
                 if step is not None:
                     if step.effective and not attempt.may_write() and not attempt.may_have_run:
-                        return Reply(Outcome.CONNECT_FAILED)
+                        return Reply(Outcome.MOOT)
                     connection.sock.sendall(step.data)
                     attempt.may_have_run = attempt.may_have_run or step.effective
                 elif not connection.inbox.room or not connection.inbox.receive(connection.sock):
                     raise ConnectionResetError("the node ended the connection")
                 step = exchange.received(connection.inbox)
         except OSError:
-            return Reply(Outcome.RESET if attempt.may_have_run else Outcome.CONNECT_FAILED)
-        if not len(connection.inbox):
+            if attempt.may_have_run:
+                return Reply(Outcome.RESET)
+            # That an old connection had ended says nothing of the node.
+            return Reply(Outcome.CONNECT_FAILED if fresh else Outcome.MOOT)
+        if step.exact and not len(connection.inbox):
             self._keep(attempt, connection)
+        else:
+            self.counters.add("nodes.spoilt")
         return step
 
     # --- connections
 
     def _take_idle(self, attempt: Attempt) -> Connection | None:
-        idle = self._idle.get(attempt.node.name, ())
-        for connection in reversed(list(idle)):
-            if connection.wire != attempt.request.wire:
-                continue
-            idle.remove(connection)  # type: ignore[union-attr]
-            fresh_enough = time.monotonic() - connection.used_at < self.idle_s
-            if fresh_enough and connection.address == attempt.address and connection.usable():
-                self._busy[attempt] = (self._busy[attempt][0], connection)
+        """The one used last that no more can follow the answer of; else the one that is first to be so."""
+        idle = self._idle.get(attempt.node.name) or deque()
+        same = [c for c in idle if c.wire == attempt.request.wire]
+        settled = time.monotonic() - SETTLE_S
+        for connection in sorted(same, key=lambda c: (c.used_at > settled, abs(c.used_at - settled))):
+            if connection not in idle:
+                continue  # taken while this waited
+            idle.remove(connection)
+            self._busy[attempt] = (self._busy[attempt][0], connection)
+            if connection.used_at > settled:
+                gevent.sleep(max(0.0, connection.used_at + SETTLE_S - time.monotonic()))
+            unused_s = time.monotonic() - connection.used_at
+            if unused_s < self.idle_s and connection.address == attempt.address and connection.usable():
                 return connection
+            self._busy[attempt] = (self._busy[attempt][0], None)
             self._drop(connection)
         return None
 
-    def _connect(self, attempt: Attempt) -> Connection | None:
-        if self._count >= self.most and not self._drop_oldest_idle():
+    def _connect(self, attempt: Attempt) -> Connection | Outcome:
+        """A new connection; MOOT where it is no fault of the node's that there is none."""
+        try:
+            if self._count >= self.most and not self._drop_oldest_idle():
+                raise OSError("every socket for nodes is in use")
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
             self.counters.add("nodes.over_sockets")
-            return None
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            log.warning("attempt at %s: %s", attempt.node.name, error)
+            return Outcome.MOOT
         connection = Connection(sock, attempt.request.wire, attempt.address)
         self._count += 1
         self._busy[attempt] = (self._busy[attempt][0], connection)
@@ -152,13 +172,16 @@
             sock.settimeout(None)
         except OSError:
             self.counters.add("nodes.connect_failed")
-            return None
+            return Outcome.CONNECT_FAILED
         self.counters.add("nodes.connected")
         return connection
 
     def _keep(self, attempt: Attempt, connection: Connection) -> None:
         if self._busy.pop(attempt, None) is None:
             return  # given up, and so closed, in the meantime
+        if attempt.node.state is NodeState.GONE:
+            self._drop(connection)
+            return
         connection.used_at = time.monotonic()
         self._idle.setdefault(attempt.node.name, deque()).append(connection)
 
@@ -178,7 +201,9 @@
         while True:
             gevent.sleep(SWEEP_S)
             oldest = time.monotonic() - self.idle_s
-            for idle in self._idle.values():
+            for name, idle in list(self._idle.items()):
+                if not idle:
+                    del self._idle[name]  # ids of nodes come and go for as long as the program runs
                 for connection in [c for c in idle if c.used_at < oldest or not c.usable()]:
                     idle.remove(connection)
                     self._drop(connection)
