Check every part of a command; close silent, slow and idle clients within 2.2 s

Lines at fault: platform/client.py request_of checked neither piece, volume, id, key nor body, and took Python's numbers (1_0, nan) for figures; listener.py STALL_S 10, idle() counted silent connections as idle for ever, and _accept let in a whole burst before any of it had been read, so _make_room closed the newest for one another. Now: such commands get -ERR, also one with the id of an open request; connections have 2.2 s for a whole request and 2.2 s between requests (SFTP 10 and 600 s); room is made only from connections 0.1 s quiet with nothing to read; a farewell reads on for 0.5 s or 512 KiB, no longer 10 s. 32 descriptors are kept back, not 64.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -17,7 +17,8 @@
 from stackrouter.config import Config, ConfigError, load, reload
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.fronts.platform.client import BUSY, Names, PlatformSession
+from stackrouter.fronts.platform.client import BUSY, PATIENCE, Names, PlatformSession
+from stackrouter.fronts.sftp.client import PATIENCE as SFTP_PATIENCE
 from stackrouter.fronts.sftp.client import SftpSession, Shared
 from stackrouter.fronts.sftp.config import SftpConfig
 from stackrouter.fronts.sftp.config import load as load_sftp
@@ -50,12 +51,12 @@
         self.engine.listed(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
-        names = Names(config.classes, config.plans, config.settings.max_units, config.settings.gateways)
+        names = Names(config.classes, config.plans, config.settings, config.shards)
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
-        self.listeners = [Listener(config.listen, 0, self.counters, session, BUSY)]
+        self.listeners = [Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY)]
         if sftp is not None:
             session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
-            self.listeners.append(Listener(sftp.listen, 0, self.counters, session, b""))
+            self.listeners.append(Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b""))
         self._limit(config)
         self._terminated = Event()
 
@@ -112,7 +113,7 @@
     gevent.signal_handler(signal.SIGHUP, gateway.reload)
     gevent.signal_handler(signal.SIGUSR1, gateway.print_counters)
     gc.freeze()  # what is loaded now stays: a collection need not look at it
-    logger.info("listening on %s:%d", *gateway.listeners[0].address)
+    logger.info("listening on %s:%d, limits %s", *gateway.listeners[0].address, config.limits)
     gateway.serve()
     gateway.print_counters()
     return 0
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -11,7 +11,7 @@
 from rackseam.benchlink import settings_of
 from rackseam.interface import Settings
 
-SPARE_SOCKETS = 64  # descriptors kept back: the log, the event loop, listeners, discovery
+SPARE_SOCKETS = 32  # descriptors kept back: the log, the event loop, listeners, discovery
 CLIENT_PART = 0.6  # of the rest go to clients, the others to nodes
 OPEN_BYTES = 128 * 1024  # what an open request may hold: its body and its answer
 OPEN_PART = 0.5  # part of the memory that open requests may fill
@@ -31,6 +31,8 @@
     plans: dict[str, int]
     zones: list[str]
     kinds: list[str]
+    shards: int  # numbered from 0; 0: not stated
+    limits: dict[str, Any]
     max_open: int
     connect_timeout_us: int
     keepalive_us: int
@@ -83,6 +85,8 @@
         plans={g["Name"]: i for i, g in enumerate(conf["Grades"])},
         zones=list(conf.get("Zones") or []),
         kinds=list(conf.get("Kinds") or []),
+        shards=int((conf.get("FamilyInfo") or {}).get("Shards") or 0),
+        limits=limits,
         max_open=min(int(caps.get("MaxOpen") or 1 << 30), int(memory * OPEN_PART) // OPEN_BYTES),
         connect_timeout_us=int(caps.get("ConnectTimeoutUs") or 250_000),
         keepalive_us=int(caps.get("KeepaliveUs") or 15_000_000),
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -2,33 +2,44 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from rackseam.interface import Effect, Settings
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.core.model import Inbox, Request, Result, Verdict
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
-from stackrouter.net.listener import MalformedError
+from stackrouter.net.listener import MalformedError, Patience
 
 WIRE = "platform"
+PATIENCE = Patience(
+    request_s=2.2, idle_s=2.2
+)  # bad clients must hear within 3 s; good ones open what they need
 MOST_PIPELINED = 32  # commands of one connection that may wait for their answers
 READ, WRITE = b"BLK.READ", b"BLK.WRITE"
 BUSY = resp.error("BUSY")
 LONGEST_WAIT_MS = 3_600_000
-LONGEST_VOLUME = 64
 
 
 @dataclass(frozen=True, slots=True)
 class Names:
-    """The settings' names of classes and plans, by index, and the bounds of what a request may say."""
+    """The settings' names of classes and plans, by index, the bounds of requests, the open ids."""
 
     classes: Mapping[str, int]
     plans: Mapping[str, int]
-    most_units: float
-    gateways: int
+    settings: Settings
+    shards: int  # 0: not stated
+    open: set[bytes] = field(default_factory=set)
+
+
+PIECE = re.compile(rb"[0-9a-fA-F]{16}")  # of data, and volumes
+TOKEN = re.compile(rb"[!-+\--~]{1,64}")  # ids and keys: no space, comma or control byte
+WHOLE = re.compile(r"-?[0-9]{1,9}")
+AMOUNT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class BadCommandError(Exception):
@@ -36,50 +47,65 @@
 
 
 def request_of(parts: list[bytes], names: Names, answer: Callable[[Result], None]) -> Request:
-    """A BLK command in the core's terms; raises BadCommandError."""
-    if len(parts) < 4 or len(parts) > 5:
+    """A BLK command in the core's terms; raises BadCommandError for what no node could use."""
+    name = parts[0].upper()
+    if len(parts) != (5 if name == WRITE else 4):
         raise BadCommandError("wrong number of arguments")
-    name, piece, request_id, raw, *body = parts
+    _, piece, request_id, raw, *body = parts
     try:
         pairs = [field.partition("=") for field in raw.decode("ascii").split(",")]
     except UnicodeDecodeError:
         raise BadCommandError("bad fields") from None
     fields = {key: value for key, _, value in pairs}
-    if len(fields) != len(pairs):
-        raise BadCommandError("a field is given twice")
+    if len(fields) != len(pairs) or not all(equals for _, equals, _ in pairs):
+        raise BadCommandError("a field is given twice or has no value")
     now = clock_us()
     try:
-        units, gateways = float(fields["units"]), int(fields.get("hosts", "1"))
-        shard, wait_ms = int(fields.get("shard", "-1")), int(fields["d"])
-        request_class, plan, volume = fields["c"], fields["t"], fields["volume"]
+        units, gateways = float(number(AMOUNT, fields["units"])), int(number(WHOLE, fields.get("hosts", "1")))
+        shard, wait_ms = int(number(WHOLE, fields.get("shard", "-1"))), int(number(WHOLE, fields["d"]))
+        request_class, plan = names.classes.get(fields["c"]), names.plans.get(fields["t"])
+        volume = fields["volume"]
     except KeyError as error:
         raise BadCommandError(f"field {error.args[0]} is missing") from None
-    except ValueError:
-        raise BadCommandError("a field is not a number") from None
-    if request_class not in names.classes or plan not in names.plans:
+    if request_class is None or plan is None:
         raise BadCommandError("unknown class or plan")
+    settings, cls = names.settings, names.settings.classes[request_class]
+    if any(c.writes for c in settings.classes) and cls.writes != (name == WRITE):
+        raise BadCommandError("the class is not for this command")
+    key = fields.get("k", "")
+    if not PIECE.fullmatch(piece) or not PIECE.fullmatch(volume.encode()) or not TOKEN.fullmatch(request_id):
+        raise BadCommandError("bad piece, volume or id")
+    if (cls.effect is Effect.KEYED or key) and not TOKEN.fullmatch(key.encode()):
+        raise BadCommandError("bad key")
     # Guards the volume: a false size or number of gateways would hold up all its requests.
-    sizes = 0 < units <= names.most_units and 1 <= gateways <= names.gateways and shard >= -1
-    if not sizes or not 0 < wait_ms <= LONGEST_WAIT_MS or len(volume) > LONGEST_VOLUME:
+    sizes = 0 < units <= settings.max_units and 1 <= gateways <= settings.gateways
+    if not sizes or shard < -1 or shard >= (names.shards or shard + 1) or not 0 < wait_ms <= LONGEST_WAIT_MS:
         raise BadCommandError("a field is out of range")
     command = Command(name, piece, request_id, tuple((key, value) for key, _, value in pairs), tuple(body))
     return Request(
-        request_class=names.classes[request_class],
-        plan=names.plans[plan],
+        request_class=request_class,
+        plan=plan,
         volume=volume,
         units=units,
         shard=shard,
         gateways=gateways,
-        key=piece.decode("ascii", "replace"),
+        key=piece.decode("ascii"),
         deadline_us=now + wait_ms * 1000,
         exchange=command.exchange,
         answer=answer,
         wire=WIRE,
         repeat=fields.get("r") == "1",
-        write=name.upper() == WRITE,
+        write=name == WRITE,
     )
 
 
+def number(form: re.Pattern[str], text: str) -> str:
+    """Guards against what Python takes for a number and nobody else does, such as 1_0."""
+    if not form.fullmatch(text):
+        raise BadCommandError("a field is not a number")
+    return text
+
+
 def answer_of(result: Result) -> bytes:
     if result.verdict is Verdict.SERVED:
         return resp.bulk(result.value)
@@ -91,10 +117,10 @@
 class _Slot:
     """A command's place in the order of answers."""
 
-    __slots__ = ("data", "request")
+    __slots__ = ("data", "id", "request")
 
     def __init__(self, data: bytes | None = None) -> None:
-        self.data = data
+        self.data, self.id = data, b""
         self.request: Request | None = None
 
 
@@ -122,12 +148,17 @@
         if name in (READ, WRITE):
             slot = _Slot()
             try:
-                slot.request = request_of(parts, self._names, lambda result: self._answered(slot, result))
+                request = request_of(parts, self._names, lambda result: self._answered(slot, result))
+                # Guards the other request: nodes would take the second for another attempt of the first.
+                if parts[2] in self._names.open:
+                    raise BadCommandError("a request with this id is open")
             except BadCommandError as error:
                 self._counters.add("clients.bad_command")
                 slot.data = resp.error(f"ERR {error}")
             else:
-                self._engine.submit(slot.request)
+                slot.request, slot.id = request, parts[2]
+                self._names.open.add(slot.id)
+                self._engine.submit(request)
             self._slots.append(slot)
         elif name == b"PING" and len(parts) <= 2:
             self._slots.append(_Slot(resp.bulk(parts[1]) if len(parts) == 2 else b"+PONG\r\n"))
@@ -141,6 +172,7 @@
     def _answered(self, slot: _Slot, result: Result) -> None:
         slot.data = answer_of(result)
         slot.request = None
+        self._names.open.discard(slot.id)
         self._wake()
 
     def output(self) -> bytes:
@@ -158,4 +190,5 @@
         for slot in self._slots:
             if slot.request is not None:
                 self._engine.withdraw(slot.request)
+                self._names.open.discard(slot.id)
         self._slots.clear()
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -20,9 +20,10 @@
 from stackrouter.fronts.sftp.keys import ATTRIBUTES, EXISTENCE, WHOLE, Keys, Reach, overlap
 from stackrouter.fronts.sftp.node import Operation
 from stackrouter.fronts.sftp.packets import Fields, Flag, Packet, Status, Type, string, u32, u64
-from stackrouter.net.listener import MalformedError
+from stackrouter.net.listener import MalformedError, Patience
 
 WIRE = "sftp"
+PATIENCE = Patience(request_s=10.0, idle_s=600.0)  # a session has handles to lose: people use it, with pauses
 MOST_PENDING = 32  # requests of one connection that may wait for their answers
 MOST_HANDLES = 256
 MOST_NAMES = 32 * 1024  # bytes of names in one answer to READDIR
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -8,8 +8,10 @@
 import contextlib
 import errno
 import logging
+import select
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import gevent
@@ -25,7 +27,12 @@
 BACKLOG = 1024
 INBOX = 160 * 1024  # a value of 64 KiB in a command with its other parts
 OUTBOX = 64 * 1024
-STALL_S = 10.0  # half a request, or an answer nobody reads, may stand still this long
+STALL_S = 10.0  # an answer nobody reads may stand still this long
+LINGER_S = 0.5  # after a farewell, what still comes is read this long so that the client can get it
+LINGER_BYTES = 512 * 1024  # ... and no more than this
+SWEEP_S = 0.2  # how often connections are looked over
+YOUNG_S = 0.1  # a connection may be about to send its request: it is not closed for another's sake
+ROOM_S = 0.5  # how long a new client waits for room before it is told to come again
 EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 EXHAUSTED_REST_S = 0.05
 
@@ -38,6 +45,16 @@
         self.farewell = farewell
 
 
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """How long a client may take; past it the connection is closed."""
+
+    request_s: (
+        float  # from connecting to its first whole request, and from a later one's first byte to its last
+    )
+    idle_s: float  # between requests
+
+
 class Session(Protocol):
     """A front's side of one client connection."""
 
@@ -62,7 +79,7 @@
         self.sock, self.listener = sock, listener
         self.inbox, self.outbox = Ring(INBOX), Ring(OUTBOX)
         self.active_at = self.half_since = time.monotonic()
-        self.ending = self.closed = self._half = False
+        self.ending = self.closed = self._half = self._asked = False
         self._wake, self._room = Event(), Event()
         self.session = listener.session(self._wake.set)
         self._greenlets = [gevent.spawn(self._guard, self._read), gevent.spawn(self._guard, self._write)]
@@ -74,9 +91,22 @@
         return self.answered() and not len(self.inbox)
 
     def stalled(self, now: float) -> bool:
-        """Guards against clients that never finish a request, or never read an answer."""
-        half = len(self.inbox) > 0 and not self.session.full() and now - self.half_since > STALL_S
-        return half or (len(self.outbox) > 0 and now - self.active_at > STALL_S)
+        """Guards against clients that never send or finish a request, or never read an answer."""
+        patience = self.listener.patience
+        if len(self.outbox):
+            return now - self.active_at > STALL_S
+        if not self._asked or (len(self.inbox) and not self.session.full()):
+            return not self.ending and now - self.half_since > patience.request_s
+        return self.idle() and now - self.active_at > patience.idle_s and not self._readable()
+
+    def spare(self, now: float) -> bool:
+        """May be closed to make room: nothing is owed on it, and nothing is about to be asked."""
+        return self.answered() and now - self.active_at > YOUNG_S and not self._readable()
+
+    def _readable(self) -> bool:
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def close(self) -> None:
         if self.closed:
@@ -118,8 +148,10 @@
                 self._farewell(error.farewell)
                 return
             self.active_at = time.monotonic()
-            if len(self.inbox) < held or not self._half:  # a request was taken, or a new one has begun
+            taken = len(self.inbox) < held
+            if taken or (self._asked and not self._half):  # a request was taken, or a later one has begun
                 self.half_since = self.active_at
+            self._asked = self._asked or taken
             self._half = len(self.inbox) > 0
 
     def _farewell(self, data: bytes) -> None:
@@ -131,8 +163,11 @@
                 self._room.wait()
             self.sock.sendall(data)
             self.sock.shutdown(socket.SHUT_WR)
-            while self.sock.recv(4096):
-                pass  # closing with unread bytes would reset the connection and lose the reason
+        # Closing with unread bytes would reset the connection and lose the reason.
+        with gevent.Timeout(LINGER_S, TimeoutError()):
+            rest = LINGER_BYTES
+            while rest > 0 and (more := self.sock.recv(65536)):
+                rest -= len(more)
 
     def _write(self) -> None:
         rest = memoryview(b"")
@@ -157,8 +192,10 @@
 
 class Listener:
     def __init__(self, address: tuple[str, int], most: int, counters: Counters,
-                 session: Callable[[Callable[[], None]], Session], busy: bytes) -> None:  # fmt: skip
-        self.most, self.counters, self.session, self.busy = most, counters, session, busy
+                 session: Callable[[Callable[[], None]], Session], patience: Patience,
+                 busy: bytes) -> None:  # fmt: skip
+        self.most, self.counters, self.session = most, counters, session
+        self.patience, self.busy = patience, busy
         self.connections: set[Connection] = set()
         self.stopping = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -190,6 +227,7 @@
 
     def _accept(self) -> None:
         while True:
+            self._wait_for_room()
             try:
                 sock, _ = self._sock.accept()
             except OSError as error:
@@ -200,6 +238,13 @@
                 continue
             self._admit(sock)
 
+    def _wait_for_room(self) -> None:
+        """At the cap the next client waits to be let in until one can be closed that nothing is owed to."""
+        until = time.monotonic() + ROOM_S
+        while len(self.connections) >= self.most and time.monotonic() < until:
+            # Those just let in must have had their turn to read before they count as idle.
+            gevent.sleep(0 if self._make_room() else YOUNG_S / 2)
+
     def _admit(self, sock: socket.socket) -> None:
         try:
             if len(self.connections) >= self.most and not self._make_room():
@@ -217,14 +262,15 @@
             sock.close()
 
     def _make_room(self) -> bool:
-        idle = [c for c in self.connections if c.idle()]
-        if idle:
-            min(idle, key=lambda c: c.active_at).close()
-        return bool(idle)
+        now = time.monotonic()
+        spare = [c for c in self.connections if c.spare(now)]
+        if spare:
+            min(spare, key=lambda c: c.active_at).close()
+        return bool(spare)
 
     def _sweep(self) -> None:
         while True:
-            gevent.sleep(STALL_S / 10)
+            gevent.sleep(SWEEP_S)
             now = time.monotonic()
             for connection in [c for c in self.connections if c.stalled(now)]:
                 self.counters.add("clients.stalled")
