Pass on node values of up to 2 MiB within a budget of the memory

Now: an answer says how much it needs (Exchange.needs); past 160 KiB the pool takes a lease of the memory for it and otherwise leaves it in its socket; the lease goes with the value to the client and ends with it. A value is no longer copied into one answer string, and the ring's peek copies once. Wrong guess: smaller segments (TCP_MAXSEG 1460) against 40 and 200 ms stalls: the stalls are the clients' pace. Ruled out: nodes at fault, their large answers take 15 ms in the mean, small ones 12 ms.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -38,8 +38,8 @@
     def __init__(self, config: Config, sftp: SftpConfig | None) -> None:
         self.counters = Counters()
         self.engine = Engine(config.settings, config.max_open, self.counters)
-        self.pool = Pool(config.node_sockets, config.connect_timeout_us, config.keepalive_us, self.counters,
-                         self.engine.ended)  # fmt: skip
+        self.pool = Pool(config.node_sockets, config.answer_bytes, config.connect_timeout_us,
+                         config.keepalive_us, self.counters, self.engine.ended)  # fmt: skip
         self.engine.transport = self.pool
         listing = Listing(config.zones, config.kinds, clock_us())
         self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed)
@@ -62,7 +62,7 @@
 
     def _limit(self, config: Config) -> None:
         self.engine.max_open = config.max_open
-        self.pool.most = config.node_sockets
+        self.pool.most, self.pool.budget.most = config.node_sockets, config.answer_bytes
         # The second front's clients come out of the same budget of sockets.
         files = config.client_sockets // FILES_PART if len(self.listeners) > 1 else 0
         for listener, most in zip(self.listeners, (config.client_sockets - files, files), strict=False):
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -14,6 +14,8 @@
 SPARE_SOCKETS = 32  # descriptors kept back: the log, the event loop, listeners, discovery
 CLIENT_PART = 0.6  # of the rest go to clients, the others to nodes
 OPEN_BYTES = 128 * 1024  # what an open request may hold: its body and its answer
+PROGRAM_BYTES = 24 << 20  # what the program needs by itself
+ANSWER_PART = 0.3  # part of the rest for answers of more than 64 KiB: an answer is there up to three times
 OPEN_PART = 0.5  # part of the memory that open requests may fill
 
 
@@ -34,6 +36,7 @@
     shards: int  # numbered from 0; 0: not stated
     limits: dict[str, Any]
     max_open: int
+    answer_bytes: int
     connect_timeout_us: int
     keepalive_us: int
     client_sockets: int
@@ -88,6 +91,7 @@
         shards=int((conf.get("FamilyInfo") or {}).get("Shards") or 0),
         limits=limits,
         max_open=min(int(caps.get("MaxOpen") or 1 << 30), int(memory * OPEN_PART) // OPEN_BYTES),
+        answer_bytes=int(max(0, memory - PROGRAM_BYTES) * ANSWER_PART),
         connect_timeout_us=int(caps.get("ConnectTimeoutUs") or 250_000),
         keepalive_us=int(caps.get("KeepaliveUs") or 15_000_000),
         client_sockets=int(sockets * CLIENT_PART),
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -196,7 +196,7 @@
         self.counters.add(f"attempts.{reply.outcome.value}")
         closed = served or r.answered
         if served:
-            self._answer(r, Result(Verdict.SERVED, reply.value))
+            self._answer(r, Result(Verdict.SERVED, reply.value, lease=reply.lease))
         self._events.append(
             Answer(
                 r.id, attempt.number, attempt.node.name, reply.outcome, closed, self._now - attempt.sent_us,
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -24,6 +24,7 @@
     verdict: Verdict
     value: Any = None
     pause_us: int = 0
+    lease: object = None  # of the memory that a large value takes, given back with the last reference
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +37,7 @@
     elsewhere_units: float = 0.0
     report: Mapping[str, float] = field(default_factory=dict)
     exact: bool = False
+    lease: object = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,8 @@
 class Exchange(Protocol):
     """One attempt's talk with a node, made by a front for each attempt."""
 
+    needs: int  # bytes that what comes takes at least, as far as that is known
+
     def start(self, wait_us: int, fresh: bool) -> Step:
         """The first bytes; `fresh`: the first on this connection."""
 
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -106,9 +106,10 @@
     return text
 
 
-def answer_of(result: Result) -> bytes:
+def answer_of(result: Result) -> bytes | tuple[bytes, ...]:
     if result.verdict is Verdict.SERVED:
-        return resp.bulk(result.value)
+        # In parts: a large value is not copied once more.
+        return b"$%d\r\n" % len(result.value), result.value, b"\r\n"
     if result.verdict is Verdict.REFUSED:
         return resp.error(f"BUSY {-(-result.pause_us // 1000)}" if result.pause_us else "BUSY")
     return resp.error("ERR failed")
@@ -117,11 +118,13 @@
 class _Slot:
     """A command's place in the order of answers."""
 
-    __slots__ = ("data", "id", "request")
+    __slots__ = ("id", "lease", "parts", "request")
 
     def __init__(self, data: bytes | None = None) -> None:
-        self.data, self.id = data, b""
+        self.id = b""
+        self.parts: deque[bytes] | None = None if data is None else deque((data,))
         self.request: Request | None = None
+        self.lease: object = None  # held until the answer has left
 
 
 class PlatformSession:
@@ -133,11 +136,11 @@
         while not self.full():
             try:
                 found = resp.parse(inbox)
+            except resp.ShortError:
+                return
             except resp.ProtocolError as error:
                 raise MalformedError(resp.error(f"ERR Protocol error: {error}")) from None
-            if found is None:
-                return
-            match found[0]:
+            match found:
                 case [bytes(), *_] as parts if all(isinstance(part, bytes) for part in parts):
                     self._command([part for part in parts if isinstance(part, bytes)])
                 case _:
@@ -154,7 +157,7 @@
                     raise BadCommandError("a request with this id is open")
             except BadCommandError as error:
                 self._counters.add("clients.bad_command")
-                slot.data = resp.error(f"ERR {error}")
+                slot.parts = deque((resp.error(f"ERR {error}"),))
             else:
                 slot.request, slot.id = request, parts[2]
                 self._names.open.add(slot.id)
@@ -170,15 +173,20 @@
         self._wake()
 
     def _answered(self, slot: _Slot, result: Result) -> None:
-        slot.data = answer_of(result)
-        slot.request = None
+        parts = answer_of(result)
+        slot.parts = deque(parts if isinstance(parts, tuple) else (parts,))
+        slot.request, slot.lease = None, result.lease
         self._names.open.discard(slot.id)
         self._wake()
 
     def output(self) -> bytes:
-        if self._slots and self._slots[0].data is not None:
-            return self._slots.popleft().data or b""
-        return b""
+        parts = self._slots[0].parts if self._slots else None
+        if parts is None:
+            return b""
+        part = parts.popleft()
+        if not parts:
+            self._slots.popleft()
+        return part
 
     def pending(self) -> int:
         return len(self._slots)
--- a/stackrouter/fronts/platform/node.py
+++ b/stackrouter/fronts/platform/node.py
@@ -31,16 +31,19 @@
 class PlatformExchange:
     def __init__(self, command: Command) -> None:
         self._command = command
+        self.needs = 0
 
     def start(self, wait_us: int, fresh: bool) -> Step:
         return Step(self._command.wire(max(1, -(-wait_us // 1000))), effective=True)
 
     def received(self, inbox: Inbox) -> Reply | None:
         try:
-            found = resp.parse(inbox)
+            return reply_of(resp.parse(inbox, resp.MOST_ANSWER))
+        except resp.ShortError as short:
+            self.needs = short.need
+            return None
         except resp.ProtocolError:
             return Reply(Outcome.ERROR)  # spoilt on its way: the node is there, and has run it
-        return None if found is None else reply_of(found[0])
 
 
 def reply_of(value: resp.Value) -> Reply:
--- a/stackrouter/fronts/sftp/node.py
+++ b/stackrouter/fronts/sftp/node.py
@@ -41,6 +41,7 @@
 class SftpExchange:
     def __init__(self, operation: Operation) -> None:
         self._operation, self._id = operation, 0
+        self.needs = 0  # packets are bounded
         self._talk: Talk | None = None
 
     def start(self, wait_us: int, fresh: bool) -> Step:
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -8,10 +8,11 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import gevent
 from gevent import GreenletExit, socket
+from gevent.event import Event
 
 from rackseam.interface import NodeState, Outcome
 from stackrouter.core.counters import Counters
@@ -28,6 +29,34 @@
 SWEEP_S = 0.5  # how often idle connections are looked over
 
 
+class Lease:
+    """A part of the memory for large answers; given back when nothing refers to it any more."""
+
+    def __init__(self, budget: Budget, size: int) -> None:
+        self._budget, self._size = budget, size
+        budget.used += size
+
+    def __del__(self) -> None:
+        self._budget.used -= self._size
+        self._budget.freed.set()
+
+
+class Budget:
+    """Memory for answers that are larger than agreed: what does not fit waits, unread, in its socket."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.used, self.freed = most, 0, Event()
+
+    def take(self, size: int) -> Lease | None:
+        """None: never to be had."""
+        if size > self.most:
+            return None
+        while self.used + size > self.most:
+            self.freed.clear()
+            self.freed.wait()
+        return Lease(self, size)
+
+
 @dataclass(slots=True, eq=False)
 class Connection:
     sock: socket.socket
@@ -35,6 +64,7 @@
     address: tuple[str, int]
     inbox: Ring = field(default_factory=lambda: Ring(LARGEST_REPLY))
     used_at: float = 0.0
+    lease: Lease | None = None
 
     def end(self) -> None:
         """Shut down at once: closing alone waits for a turn of the event loop."""
@@ -50,10 +80,11 @@
 
 
 class Pool:
-    def __init__(self, most: int, connect_timeout_us: int, keepalive_us: int, counters: Counters,
+    def __init__(self, most: int, budget: int, connect_timeout_us: int, keepalive_us: int, counters: Counters,
                  ended: Callable[[Attempt, Reply], None]) -> None:  # fmt: skip
         self.most, self.counters, self.ended = most, counters, ended
         self.connect_s, self.idle_s = connect_timeout_us / 1e6, keepalive_us / 1e6 * IDLE_PART
+        self.budget = Budget(budget)
         self._idle: dict[str, deque[Connection]] = {}
         self._count = 0  # sockets held, idle or not
         self._busy: dict[Attempt, tuple[gevent.Greenlet[..., None], Connection | None]] = {}
@@ -117,6 +148,13 @@
                         return Reply(Outcome.MOOT)
                     connection.sock.sendall(step.data)
                     attempt.may_have_run = attempt.may_have_run or step.effective
+                elif exchange.needs > connection.inbox.bound:
+                    connection.lease = self.budget.take(exchange.needs + LARGEST_REPLY)
+                    if connection.lease is None:
+                        self.counters.add("nodes.over_memory")
+                        return Reply(Outcome.ERROR)
+                    connection.inbox.reserve(exchange.needs + LARGEST_REPLY)
+                    continue
                 elif not connection.inbox.room or not connection.inbox.receive(connection.sock):
                     raise ConnectionResetError("the node ended the connection")
                 step = exchange.received(connection.inbox)
@@ -125,6 +163,9 @@
                 return Reply(Outcome.RESET)
             # That an old connection had ended says nothing of the node.
             return Reply(Outcome.CONNECT_FAILED if fresh else Outcome.MOOT)
+        if connection.lease is not None:
+            step = replace(step, lease=connection.lease)
+            connection.lease, connection.inbox.bound = None, LARGEST_REPLY
         if step.exact and not len(connection.inbox):
             self._keep(attempt, connection)
         else:
--- a/stackrouter/net/ring.py
+++ b/stackrouter/net/ring.py
@@ -37,7 +37,9 @@
         length = max(0, min(length, self._size - start))
         at = (self._head + start) % len(self._buffer)
         first = min(length, len(self._buffer) - at)
-        return bytes(self._buffer[at : at + first] + self._buffer[: length - first])
+        with memoryview(self._buffer) as held:
+            head = bytes(held[at : at + first])
+            return head if first == length else head + bytes(held[: length - first])
 
     def skip(self, length: int) -> None:
         self._size -= length
@@ -47,6 +49,12 @@
             if len(self._buffer) > FIRST:
                 self._buffer = bytearray(FIRST)  # a large value must not keep its memory
 
+    def reserve(self, bound: int) -> None:
+        """Hold up to `bound` bytes, with room for them at once."""
+        self.bound = bound
+        if len(self._buffer) < bound:
+            self._resize(bound)
+
     def receive(self, sock: socket) -> int:
         """One read into the free space; 0 at the end of the stream. The ring must not be full."""
         if self._size == len(self._buffer):
@@ -69,7 +77,10 @@
     def _grow(self) -> None:
         if len(self._buffer) >= self.bound:
             raise BufferError("the ring is full")
+        self._resize(min(self.bound, 2 * len(self._buffer)))
+
+    def _resize(self, size: int) -> None:
         held = self.peek(0, self._size)
-        self._buffer = bytearray(min(self.bound, 2 * len(self._buffer)))
+        self._buffer = bytearray(size)
         self._buffer[: len(held)] = held
         self._head = 0
