--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -120,7 +120,7 @@
         self.started_at, self.loss = -1, 0.0
         self.bell_at = FOREVER
         self.actions: list[Action] = []
-        self.alarms: list[tuple[int, int, Callable[[], None]]] = []
+        self.alarms: list[tuple[int, int, Callable[[], None], _Request | None]] = []
         self.requests: dict[str, _Request] = {}
         self.volumes: dict[tuple[str, int], _Volume] = {}
         self.nodes: dict[str, _Node] = {}
@@ -165,6 +165,8 @@
         while self.alarms and self.alarms[0][0] <= now_us:
             heappop(self.alarms)[2]()
             self._settle()
+        while self.alarms and (r := self.alarms[0][3]) is not None and r.over:
+            heappop(self.alarms)  # most requests are over long before their alarms: these ring no bell
         if self.alarms and self.alarms[0][0] < self.bell_at:
             self.bell_at = self.alarms[0][0]
             self.actions.append(api.SetTimer("due", self.bell_at - now_us))
@@ -179,9 +181,10 @@
         while self.kicked:
             self._serve(self.kicked.pop(next(iter(self.kicked))))
 
-    def _at(self, when: float, call: Callable[[], None]) -> None:
+    def _at(self, when: float, call: Callable[[], None], r: _Request | None = None) -> None:
+        """Call then, unless the request is over."""
         self.seq += 1
-        heappush(self.alarms, (max(self.now + 1, math.ceil(when)), self.seq, call))
+        heappush(self.alarms, (max(self.now + 1, math.ceil(when)), self.seq, call, r))
 
     # --- the list of nodes
 
@@ -262,8 +265,8 @@
         r = self.requests[e.request] = _Request(e, cls, lane, self.now, self.seq, longest)
         if self.s.resend_ratio is not None:
             self.taken.append(self.now)
-        self._at(r.due_at - self.margin, lambda: self._expire(r))
-        self._at(r.held_until, lambda: self._unsent(r))
+        self._at(r.due_at - self.margin, lambda: self._expire(r), r)
+        self._at(r.held_until, lambda: self._unsent(r), r)
         if cls.ordered and e.key:
             chain = self.chains.setdefault(e.key, deque())
             chain.append(r)
@@ -725,7 +728,7 @@
             return
         short = self._short(r) if self._head(r.lane) is r else 0.0
         if 0 < short <= self.aim and self._spare(r.lane.shard, r) is not None:
-            self._at(self.now + short + self.margin, lambda: self._unsent(r))
+            self._at(self.now + short + self.margin, lambda: self._unsent(r), r)
         else:
             self._end(r)
 
--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -30,6 +30,7 @@
 FINISH_STEP_S = 0.02
 FILES_PART = 4  # one in so many client sockets is kept for the SFTP front, while that is on
 EXIT_CONFIG = 2
+GC_THRESHOLD = 10_000  # objects between collections: few are left in cycles, and looking costs
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +114,7 @@
     gevent.signal_handler(signal.SIGHUP, gateway.reload)
     gevent.signal_handler(signal.SIGUSR1, gateway.print_counters)
     gc.freeze()  # what is loaded now stays: a collection need not look at it
+    gc.set_threshold(GC_THRESHOLD)
     logger.info("listening on %s:%d, limits %s", *gateway.listeners[0].address, config.limits)
     gateway.serve()
     gateway.print_counters()
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -11,7 +11,8 @@
 from functools import partial
 from typing import Any
 
-from gevent.queue import Empty, SimpleQueue
+import gevent
+from gevent.queue import SimpleQueue
 
 from rackseam.control import Controller
 from rackseam.interface import (
@@ -44,6 +45,7 @@
 
 log = logging.getLogger(__name__)
 
+TICK: tuple[Callable[..., None], tuple[Any, ...]] = (lambda: None, ())  # something has fallen due
 MOST_ROUNDS = 100  # events that actions cause at once are handled in rounds; more than this is a loop
 
 
@@ -92,14 +94,21 @@
     # --- the loop
 
     def run(self) -> None:
+        loop = gevent.get_hub().loop
+        alarm, due = loop.timer(0), 0
         while True:
-            wait = self._wheel.wait_us(clock_us())
-            try:
-                batch = [self._queue.get(timeout=None if wait is None else wait / 1e6)]
-                while not self._queue.empty():
-                    batch.append(self._queue.get_nowait())
-            except Empty:
-                batch = []
+            now = clock_us()
+            wait = self._wheel.wait_us(now)
+            # The event loop's own timer, set anew once it has run or for an earlier tick: a Timeout a turn
+            # took a tenth of the CPU.
+            if wait is not None and (due <= now or now + wait < due):
+                alarm.stop()
+                alarm.close()
+                alarm, due = loop.timer(wait / 1e6), now + wait
+                alarm.start(self._queue.put, TICK)
+            batch = [self._queue.get()]
+            while not self._queue.empty():
+                batch.append(self._queue.get())
             self.step(batch)
 
     def step(self, batch: Sequence[tuple[Callable[..., None], tuple[Any, ...]]]) -> None:
--- a/stackrouter/core/wheel.py
+++ b/stackrouter/core/wheel.py
@@ -57,6 +57,7 @@
         if not self._count:
             return None
         for at in range(self._done + 1, self._done + SLOTS + 1):
-            if self._slots[at % SLOTS]:
+            slot = self._slots[at % SLOTS]
+            if slot and any(t.call is not None for t in slot):
                 return max(0, at * self.tick_us - now_us)
         return None
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -170,14 +170,16 @@
         else:
             self._counters.add("clients.bad_command")
             self._slots.append(_Slot(resp.error("ERR unknown command")))
-        self._wake()
+        if self._slots[0].parts is not None:
+            self._wake()
 
     def _answered(self, slot: _Slot, result: Result) -> None:
         parts = answer_of(result)
         slot.parts = deque(parts if isinstance(parts, tuple) else (parts,))
         slot.request, slot.lease = None, result.lease
         self._names.open.discard(slot.id)
-        self._wake()
+        if self._slots and self._slots[0] is slot:
+            self._wake()
 
     def output(self) -> bytes:
         parts = self._slots[0].parts if self._slots else None
