--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -41,6 +41,7 @@
 LIST_RETRY_US = 500_000.0  # first wait after a failed list call; doubles up to the stated longest silence
 LIST_RETRY_MOST_US = 8_000_000.0  # longest wait between list calls when nothing is stated
 HELD_PART = 0.48  # a request not sent within its aim or this part of its time is given up, whichever is less
+SAME_DUE_US = 30_000  # a next try is due when its first was, but for the time its messages took
 EPSILON = 1e-6  # tokens: rounding must not hold a head for ever
 FOREVER = 1 << 62
 
@@ -49,15 +50,20 @@
 STILL_RUNNING = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED, Outcome.UNKNOWN})
 
 
+_What = tuple[str, str, int, float]  # volume, key, class, units
+
+
 class _Request:
     def __init__(
-        self, e: api.Arrival, cls: api.RequestClass, lane: _Lane, now: int, seq: int, longest: int
+        self, e: api.Arrival, cls: api.RequestClass, lane: _Lane, now: int, seq: int, aim_at: int | None
     ) -> None:
         self.id, self.cls, self.lane, self.seq = e.request, cls, lane, seq
         self.units, self.key, self.since = e.units, e.key, now
-        # A client's next try has less time than first tries have: what it wants within the aim began with its
-        # first. It must not take the room of requests that can still be in time.
-        self.due_at, self.aim_at = now + e.grace_us, now + min(cls.aim_us + e.grace_us - longest, e.grace_us)
+        # What a client's next try wants within the aim began with its first try. It must not take the room of
+        # requests that can still be in time.
+        self.due_at = now + e.grace_us
+        self.aim_at = now + min(cls.aim_us, e.grace_us) if aim_at is None else aim_at
+        self.what = (e.volume, e.key, e.request_class, e.units)
         self.attempts: list[tuple[_Node, int] | None] = []  # None once its outcome is known
         self.out, self.turn = 0, (self.aim_at, seq)
         self.ran_at = -1  # when the first attempt that may have run was sent
@@ -129,7 +135,8 @@
         self.shards: dict[int, _Shard] = {}
         self.chains: dict[str, deque[_Request]] = {}
         self.rests: dict[str, int] = {}
-        self.longest: dict[int, int] = {}  # a class's longest time given: that of first tries
+        self.unserved: dict[_What, list[tuple[int, int]]] = {}  # what clients may ask again: due, aim
+        self.unserved_order: deque[tuple[int, _What]] = deque()
         self.taken: deque[int] = deque()
         self.resent: deque[int] = deque()
         self.list_wait, self.list_call = LIST_RETRY_US, 0
@@ -259,10 +266,9 @@
         volume.gateways = max(volume.gateways, e.gateways)
         shard = self.shards.setdefault(e.shard, _Shard(e.shard))
         lane = volume.lanes.setdefault(e.shard, _Lane(volume, shard))
-        longest = max(self.longest.get(e.request_class, 0), min(e.grace_us, cls.deadline_us))
-        self.longest[e.request_class] = longest
         self.seq += 1
-        r = self.requests[e.request] = _Request(e, cls, lane, self.now, self.seq, longest)
+        r = _Request(e, cls, lane, self.now, self.seq, self._first_aim(e))
+        self.requests[e.request] = r
         if self.s.resend_ratio is not None:
             self.taken.append(self.now)
         self._at(r.due_at - self.margin, lambda: self._expire(r), r)
@@ -274,6 +280,24 @@
                 return
         self._enqueue(r)
 
+    def _first_aim(self, e: api.Arrival) -> int | None:
+        """The aim of the try that this one follows: the same was asked, to be given up at the same time.
+
+        Less time than others have is no sign: some clients have little from the first.
+        """
+        while self.unserved_order and self.unserved_order[0][0] < self.now:
+            _, what = self.unserved_order.popleft()
+            if not (left := [t for t in self.unserved.get(what, ()) if t[0] >= self.now]):
+                self.unserved.pop(what, None)
+            else:
+                self.unserved[what] = left
+        tries = self.unserved.get((e.volume, e.key, e.request_class, e.units), [])
+        for i, (due_at, aim_at) in enumerate(tries):
+            if abs(due_at - self.now - e.grace_us) <= SAME_DUE_US:
+                del tries[i]
+                return aim_at
+        return None
+
     def _drop_idle(self) -> None:
         """Drop the longest unused volume if nothing waits and its buckets are as full as a new one's."""
         if (key := next(iter(self.volumes), None)) is not None:
@@ -711,6 +735,9 @@
     def _end(self, r: _Request) -> None:
         if not r.over:
             self.actions.append(api.Refuse(r.id, self._pause(r)) if self._refusable(r) else api.Fail(r.id))
+            if r.what[1]:
+                self.unserved.setdefault(r.what, []).append((r.due_at, r.aim_at))
+                self.unserved_order.append((min(r.due_at, self.now + r.cls.deadline_us), r.what))
             self._finish(r)
 
     def _expire(self, r: _Request) -> None:
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -20,10 +20,32 @@
 
     def test_a_next_try_past_its_aim_is_sent_at_once_or_refused(self) -> None:
         g = Gateway()
-        g.ask(shard=9, name="first", grace_us=2_000 * MS)
-        g.ask(shard=9, name="next", grace_us=1_500 * MS)
+        g.ask(shard=9, key="p", name="first", grace_us=2_000 * MS)
+        g.wait(500 * MS)
+        self.assertEqual(g.finals("first"), [Refuse("first", 0)])
+        g.ask(shard=9, key="p", name="next", grace_us=1_495 * MS)
+        g.ask(shard=9, key="q", name="other", grace_us=1_495 * MS)
         g.wait(2 * MS)
-        self.assertEqual((g.finals("first"), g.finals("next")), ([], [Refuse("next", 0)]))
+        self.assertEqual((g.finals("next"), g.finals("other")), ([Refuse("next", 0)], []))
+
+    def test_a_client_with_little_time_is_no_next_try(self) -> None:
+        g = Gateway()
+        for i in range(8):  # fills the node
+            g.ask(name=f"first{i}")
+        g.ask(name="short", key="p", grace_us=100 * MS)
+        g.wait(20 * MS)
+        g.answer("first0")
+        self.assertEqual(g.sends()[-1].request, "short")
+
+    def test_what_was_not_served_is_remembered_for_its_time_only(self) -> None:
+        g = Gateway()
+        for i in range(200):
+            g.ask(shard=9, key=f"p{i}", grace_us=2_000 * MS)
+            g.wait(50 * MS)
+        self.assertLess(len(g.controller.unserved), 50)
+        g.wait(3_000 * MS)
+        g.ask(key="p")
+        self.assertFalse(g.controller.unserved or g.controller.unserved_order)
 
     def test_an_attempt_that_is_out_at_half_of_the_time_is_waited_for(self) -> None:
         for outcome, finals in ((Outcome.CONNECT_FAILED, [Refuse("a", 0)]), (Outcome.FULL, [])):
@@ -35,10 +57,12 @@
 
     def test_a_next_try_does_not_take_the_room_of_requests_that_can_be_in_time(self) -> None:
         g = Gateway()
+        g.ask(shard=9, key="p", grace_us=1_000 * MS)
+        g.wait(410 * MS)  # refused
         for i in range(8):  # fills the node
             g.ask(name=f"first{i}")
         self.assertEqual(len(g.sends()), 4)
-        g.ask(name="next", grace_us=1_000 * MS)  # 2 s after its first try: far past the aim
+        g.ask(key="p", name="next", grace_us=590 * MS)
         g.wait(2 * MS)
         self.assertEqual(g.finals("next"), [Refuse("next", 0)])
         g.ask(name="last")
