--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -34,6 +34,7 @@
 COLD_TURNS = 0.5  # part of what a cold node bears that is dealt out in turns of one request a gateway
 COLD_SHOWN = 0.5  # what a cold node served of ours counts with this part of the stated multiple as bearable
 COLD_LEAST = 0.1  # a cold share stated below this is not believed when its growth is reckoned
+BROKEN_MOST = 4  # after so many broken connections without an answer between a node counts as silent
 TRIAL_GROWTH = 1.6  # each unanswered trial at a silent node lengthens the wait for the next by this
 TRIAL_MOST_AIMS = 4.0  # ... up to this many tightest aims, so that its return is noticed soon
 CHOICES = 4  # nodes looked at for a new object: as good as all when news are old, and no gateway herd forms
@@ -78,7 +79,7 @@
         self.out_n = self.missed = self.missed_at = self.sent_at = self.done_at = 0
         self.out_units, self.rate, self.rate_at, self.rtt, self.rtt_at = 0.0, 0.0, 0, 0.0, 0
         self.alive_at = self.alone_until = self.wake_at = 0
-        self.broken = False  # a connection has broken since the last answer
+        self.broken = 0  # connections broken since the last answer; refused ones count twice
         self.trial_wait = 0.0  # above 0 while the node counts as silent
         self.sent: deque[tuple[int, float]] = deque()  # what went there within the fall span
         self.served: deque[tuple[int, float]] = deque()  # ... and what it served of ours
@@ -648,7 +649,7 @@
         return 1 - SIZE_PART + SIZE_PART * r.units / self.s.mean_units
 
     def _heard(self, node: _Node, rtt_us: float) -> None:
-        node.alive_at, node.trial_wait, node.missed, node.broken = self.now, 0.0, 0, False
+        node.alive_at, node.trial_wait, node.missed, node.broken = self.now, 0.0, 0, 0
         if rtt_us:
             self._learn(node, rtt_us)
 
@@ -695,9 +696,10 @@
         elif outcome is Outcome.FULL:
             self._rest(node, self.aim * FULL_REST_AIMS * (0.5 + self.random.random()))
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
-            if node.broken:
+            # A broken connection is no dead node, the next attempt tells; two that were refused are.
+            node.broken += 2 if outcome is Outcome.CONNECT_FAILED else 1
+            if node.broken >= BROKEN_MOST:
                 self._silence(node)
-            node.broken = True  # one broken connection is no dead node: the next attempt tells
         elif outcome is Outcome.MOOT and not e.closed:
             self._rest(node, self.aim * FULL_REST_AIMS * (0.5 + self.random.random()))
         elif outcome is Outcome.TIMEOUT:
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import logging
+import math
 import select
 import time
 from collections import deque
@@ -26,9 +27,43 @@
     0.002  # more may come right behind an answer than belongs to it: so long nothing is written after it
 )
 IDLE_PART = 0.4  # part of the node's keep-alive for which an idle connection is trusted
+REUSE_MEMORY_S = 5.0  # what kept connections showed counts half after this long
+REUSE_WORSE = 0.1  # this much more of them than of new ones may end by a reset
+REUSE_LEAST = 20.0  # ... among this many at least
 SWEEP_S = 0.5  # how often idle connections are looked over
 
 
+class Reuse:
+    """How kept connections fare, by how long they were idle, against new ones.
+
+    Guards against nodes that forget connections sooner than they say and tell nobody: a request written to
+    such a one ends by a reset, and counts as an attempt that may have run.
+    """
+
+    def __init__(self) -> None:
+        # Of new connections, then of those idle for up to 50, 100, 200 ms and so on: uses and resets.
+        self._uses, self._resets = [0.0] * 9, [0.0] * 9
+        self._halved_at = 0.0
+
+    @staticmethod
+    def _class(idle_s: float) -> int:
+        return min(8, 1 + max(0, math.ceil(math.log2(max(idle_s, 1e-3) / 0.05))))
+
+    def note(self, idle_s: float | None, reset: bool, now: float) -> None:
+        """`idle_s` is None for a new connection."""
+        if now - self._halved_at > REUSE_MEMORY_S:  # what was learned fades, so that it is tried again
+            self._halved_at = now
+            self._uses, self._resets = [n / 2 for n in self._uses], [n / 2 for n in self._resets]
+        i = 0 if idle_s is None else self._class(idle_s)
+        self._uses[i] += 1
+        self._resets[i] += reset
+
+    def trusted(self, idle_s: float) -> bool:
+        i = self._class(idle_s)
+        usual = self._resets[0] / max(1.0, self._uses[0])
+        return self._resets[i] <= (usual + REUSE_WORSE) * max(REUSE_LEAST, self._uses[i])
+
+
 class Lease:
     """A part of the memory for large answers; given back when nothing refers to it any more."""
 
@@ -84,7 +119,7 @@
                  ended: Callable[[Attempt, Reply], None]) -> None:  # fmt: skip
         self.most, self.counters, self.ended = most, counters, ended
         self.connect_s, self.idle_s = connect_timeout_us / 1e6, keepalive_us / 1e6 * IDLE_PART
-        self.budget = Budget(budget)
+        self.budget, self.reuse = Budget(budget), Reuse()
         self._idle: dict[str, deque[Connection]] = {}
         self._count = 0  # sockets held, idle or not
         self._busy: dict[Attempt, tuple[gevent.Greenlet[..., None], Connection | None]] = {}
@@ -138,7 +173,8 @@
             self.counters.add("attempts.not_written")
             self._keep(attempt, connection)
             return Reply(Outcome.MOOT)
-        exchange = attempt.request.exchange()
+        began, exchange = time.monotonic(), attempt.request.exchange()
+        idle_s = None if fresh else began - connection.used_at
         wait_us = max(0, attempt.deadline_us - time.monotonic_ns() // 1000)
         try:
             step: Step | Reply | None = exchange.start(wait_us, fresh)
@@ -160,9 +196,12 @@
                 step = exchange.received(connection.inbox)
         except OSError:
             if attempt.may_have_run:
+                if attempt in self._busy:  # else it was given up here, and no node has reset it
+                    self.reuse.note(idle_s, True, began)
                 return Reply(Outcome.RESET)
             # That an old connection had ended says nothing of the node.
             return Reply(Outcome.CONNECT_FAILED if fresh else Outcome.MOOT)
+        self.reuse.note(idle_s, False, began)
         if connection.lease is not None:
             step = replace(step, lease=connection.lease)
             connection.lease, connection.inbox.bound = None, LARGEST_REPLY
@@ -187,7 +226,8 @@
             if connection.used_at > settled:
                 gevent.sleep(max(0.0, connection.used_at + SETTLE_S - time.monotonic()))
             unused_s = time.monotonic() - connection.used_at
-            if unused_s < self.idle_s and connection.address == attempt.address and connection.usable():
+            usable = unused_s < self.idle_s and self.reuse.trusted(unused_s)
+            if usable and connection.address == attempt.address and connection.usable():
                 return connection
             self._busy[attempt] = (self._busy[attempt][0], None)
             self._drop(connection)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -308,6 +308,17 @@
     assert Cancel("a", 0) in g.do(Withdrawn("a"))
 
 
+@pytest.mark.parametrize(("outcome", "most"), [(Outcome.RESET, 4), (Outcome.CONNECT_FAILED, 2)])
+def test_a_broken_connection_is_no_dead_node_but_several_are(outcome: Outcome, most: int) -> None:
+    g = Gateway()
+    for i in range(most):
+        assert sent(g.ask(name=f"a{i}")) == [f"a{i}"]
+    for i in range(most - 1):
+        assert sent(g.answer(f"a{i}", outcome)) == [f"a{i}"]  # the next attempt tells
+    assert sent(g.answer(f"a{most - 1}", outcome)) == []
+    assert sent(g.wait(600 * MS)) != []
+
+
 def test_a_node_that_only_times_out_counts_as_silent() -> None:
     g = Gateway()
     for _ in range(60):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,6 +14,7 @@
 
 from stackrouter.core.wheel import SLOTS, Wheel
 from stackrouter.fronts.sftp.keys import EXISTENCE, WHOLE, Keys
+from stackrouter.net.pool import Reuse
 from stackrouter.net.ring import Ring
 
 
@@ -89,6 +90,18 @@
         self.assertFalse({*anew} & {*whole, *back})
         self.assertNotEqual(keys.key(b"/g", b"open", EXISTENCE, 0), whole[0])
 
+    def test_connections_kept_for_long_are_not_used_where_such_are_found_dead(self) -> None:
+        reuse = Reuse()
+        for i in range(200):
+            reuse.note(None, i % 10 == 0, 0.0)  # every tenth request is reset, on whatever connection
+            reuse.note(0.01, i % 10 == 0, 0.0)
+            if reuse.trusted(0.3):
+                reuse.note(0.3, i % 2 == 0, 0.0)
+        self.assertEqual([reuse.trusted(s) for s in (0.01, 0.3, 3.0)], [True, False, True])
+        for now in range(0, 40, 2):
+            reuse.note(None, now % 10 == 0, now)
+        self.assertTrue(reuse.trusted(0.3))  # what was learned fades: it is tried again
+
     def test_a_bad_configuration_is_one_line_and_exit_code_2(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             file = Path(folder) / "config.json"
