--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -10,6 +10,7 @@
 import logging
 import select
 import time
+import weakref
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -31,7 +32,12 @@
 LINGER_S = 0.5  # after a farewell, what still comes is read this long so that the client can get it
 LINGER_BYTES = 512 * 1024  # ... and no more than this
 SWEEP_S = 0.2  # how often connections are looked over
-YOUNG_S = 0.1  # a connection may be about to send its request: it is not closed for another's sake
+YOUNG_S = 0.1  # a new connection may be about to send its request: it is not closed for another's sake
+PRESSED_PART = (
+    0.45  # past this part of the cap, the inactive are closed sooner: clients hold no more of their own
+)
+REST_S = 0.02  # ... but not before this long after an answer
+ROOM_STEP_S = 0.02
 ROOM_S = 0.5  # how long a new client waits for room before it is told to come again
 EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 EXHAUSTED_REST_S = 0.05
@@ -81,8 +87,16 @@
         self.active_at = self.half_since = time.monotonic()
         self.ending = self.closed = self._half = self._asked = False
         self._wake, self._room = Event(), Event()
-        self.session = listener.session(self._wake.set)
-        self._greenlets = [gevent.spawn(self._guard, self._read), gevent.spawn(self._guard, self._write)]
+        # Weak: what is closed is freed at once, and not only when the garbage is looked through.
+        this = weakref.ref(self)
+
+        def wake() -> None:
+            if (connection := this()) is not None:
+                connection.wake()
+
+        self.session = listener.session(wake)
+        # The writer comes with the first answer: many connections never ask anything.
+        self._greenlets = [gevent.spawn(self._guard, self._read)]
 
     def answered(self) -> bool:
         return not self.session.pending() and not len(self.outbox)
@@ -101,7 +115,8 @@
 
     def spare(self, now: float) -> bool:
         """May be closed to make room: nothing is owed on it, and nothing is about to be asked."""
-        return self.answered() and now - self.active_at > YOUNG_S and not self._readable()
+        young = not self._asked and now - self.active_at <= YOUNG_S
+        return self.answered() and not young and not self._readable()
 
     def _readable(self) -> bool:
         poll = select.poll()
@@ -147,7 +162,7 @@
                 self.listener.counters.add("clients.malformed")
                 self._farewell(error.farewell)
                 return
-            self.active_at = time.monotonic()
+            self._active()
             taken = len(self.inbox) < held
             if taken or (self._asked and not self._half):  # a request was taken, or a later one has begun
                 self.half_since = self.active_at
@@ -180,7 +195,7 @@
             self._room.set()
             if len(self.outbox):
                 self.outbox.send(self.sock)
-                self.active_at = time.monotonic()
+                self._active()
                 continue
             if self.listener.stopping and not self.ending and self.idle():
                 return
@@ -188,6 +203,12 @@
 
     def wake(self) -> None:
         self._wake.set()
+        if len(self._greenlets) == 1 and not self.closed:
+            self._greenlets.append(gevent.spawn(self._guard, self._write))
+
+    def _active(self) -> None:
+        self.active_at = time.monotonic()
+        self.listener.active(self)
 
 
 class Listener:
@@ -196,7 +217,8 @@
                  busy: bytes) -> None:  # fmt: skip
         self.most, self.counters, self.session = most, counters, session
         self.patience, self.busy = patience, busy
-        self.connections: set[Connection] = set()
+        self.connections: dict[Connection, None] = {}  # the longest inactive first
+        self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -214,6 +236,7 @@
             self._sock.setblocking(False)
             while True:  # whoever the system has let in already may have sent a request
                 self._admit(self._sock.accept()[0])
+                gevent.sleep(0)  # sockets that were closed are given back in the event loop's turn
         self._sock.close()
         for connection in list(self.connections):
             connection.wake()
@@ -223,7 +246,11 @@
         return all(connection.answered() for connection in self.connections)
 
     def forget(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+        self.connections.pop(connection, None)
+
+    def active(self, connection: Connection) -> None:
+        if self.connections.pop(connection, connection) is None:
+            self.connections[connection] = None
 
     def _accept(self) -> None:
         while True:
@@ -237,13 +264,20 @@
                     gevent.sleep(EXHAUSTED_REST_S)
                 continue
             self._admit(sock)
+            self._relieve()
+            gevent.sleep(0)  # a burst of clients must not keep those before them from being read
 
     def _wait_for_room(self) -> None:
-        """At the cap the next client waits to be let in until one can be closed that nothing is owed to."""
-        until = time.monotonic() + ROOM_S
-        while len(self.connections) >= self.most and time.monotonic() < until:
-            # Those just let in must have had their turn to read before they count as idle.
-            gevent.sleep(0 if self._make_room() else YOUNG_S / 2)
+        """At the cap the next client waits to be let in until one can be closed that nothing is owed to.
+
+        Once that has lasted, those who wait are let in to be told to come again.
+        """
+        while len(self.connections) >= self.most and not self._make_room():
+            self._full_at = self._full_at or time.monotonic()
+            if time.monotonic() - self._full_at > ROOM_S:
+                return
+            gevent.sleep(ROOM_STEP_S)
+        self._full_at = 0.0
 
     def _admit(self, sock: socket.socket) -> None:
         try:
@@ -255,22 +289,33 @@
                 sock.close()
                 return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.connections.add(Connection(sock, self))
+            self.connections[Connection(sock, self)] = None
             self.counters.add("clients.connected")
         except OSError:
             self.counters.add("errors.accept")
             sock.close()
 
+    def _relieve(self) -> None:
+        """Guards the clients' own bound: who asks and keeps its connection leaves others none."""
+        while len(self.connections) > self.most * PRESSED_PART and self._make_room():
+            pass
+
     def _make_room(self) -> bool:
+        """Close the longest inactive that may be."""
         now = time.monotonic()
-        spare = [c for c in self.connections if c.spare(now)]
-        if spare:
-            min(spare, key=lambda c: c.active_at).close()
-        return bool(spare)
+        for connection in self.connections:
+            if now - connection.active_at <= REST_S:
+                break
+            if connection.spare(now):
+                self.counters.add("clients.closed_for_room")
+                connection.close()
+                return True
+        return False
 
     def _sweep(self) -> None:
         while True:
             gevent.sleep(SWEEP_S)
+            self._relieve()
             now = time.monotonic()
             for connection in [c for c in self.connections if c.stalled(now)]:
                 self.counters.add("clients.stalled")
--- a/stackrouter/net/ring.py
+++ b/stackrouter/net/ring.py
@@ -10,7 +10,7 @@
 class Ring:
     def __init__(self, bound: int) -> None:
         self.bound = bound
-        self._buffer = bytearray(min(FIRST, bound))
+        self._buffer = bytearray()  # many connections never say anything
         self._head = self._size = 0
 
     def __len__(self) -> int:
@@ -23,6 +23,8 @@
     def put(self, data: bytes | memoryview) -> int:
         """Take in as much as the bound allows; returns how much that was."""
         count = min(len(data), self.room)
+        if not count:
+            return 0
         while self._size + count > len(self._buffer):
             self._grow()
         at = (self._head + self._size) % len(self._buffer)
@@ -35,6 +37,8 @@
     def peek(self, start: int, length: int) -> bytes:
         """Up to `length` bytes from `start` on; they stay in the ring."""
         length = max(0, min(length, self._size - start))
+        if not length:
+            return b""
         at = (self._head + start) % len(self._buffer)
         first = min(length, len(self._buffer) - at)
         with memoryview(self._buffer) as held:
@@ -43,7 +47,9 @@
 
     def skip(self, length: int) -> None:
         self._size -= length
-        self._head = (self._head + length) % len(self._buffer)
+        self._head += length
+        if self._head >= len(self._buffer):
+            self._head -= len(self._buffer)
         if not self._size:
             self._head = 0
             if len(self._buffer) > FIRST:
@@ -77,7 +83,7 @@
     def _grow(self) -> None:
         if len(self._buffer) >= self.bound:
             raise BufferError("the ring is full")
-        self._resize(min(self.bound, 2 * len(self._buffer)))
+        self._resize(min(self.bound, max(FIRST, 2 * len(self._buffer))))
 
     def _resize(self, size: int) -> None:
         held = self.peek(0, self._size)
