Test that what the engine and the pool hold does not grow with ids and requests

Fails without the dropped timers (30 answered requests held until their deadline) and without the drop of connections that come back after their node has gone (30 keys, 10 sockets).

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,15 +8,33 @@
 import sys
 import tempfile
 import unittest
+import weakref
 from pathlib import Path
 
+import gevent
+from gevent.event import Event
+from gevent.server import StreamServer
 from gevent.socket import socket as gevent_socket
 
+from rackseam.interface import ListKind, NodeEntry, Plan, RequestClass, Settings
+from stackrouter.core.counters import Counters
+from stackrouter.core.engine import Engine, clock_us
+from stackrouter.core.model import Request, Result
 from stackrouter.core.wheel import SLOTS, Wheel
+from stackrouter.fronts.platform.node import Command
 from stackrouter.fronts.sftp.keys import EXISTENCE, WHOLE, Keys
-from stackrouter.net.pool import Reuse
+from stackrouter.net.pool import Pool, Reuse
 from stackrouter.net.ring import Ring
 
+asked, go = Event(), Event()
+
+
+def answer_all(sock: gevent_socket, _: object) -> None:
+    while sock.recv(4096):
+        asked.set()
+        go.wait()
+        sock.sendall(b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
+
 
 class Parts(unittest.TestCase):
     def test_a_ring_keeps_the_order_round_its_end_and_its_bound(self) -> None:
@@ -102,6 +120,44 @@
             reuse.note(None, now % 10 == 0, now)
         self.assertTrue(reuse.trusted(0.3))  # what was learned fades: it is tried again
 
+    def test_what_the_engine_and_the_pool_hold_does_not_grow_with_ids_and_requests(self) -> None:
+        server = StreamServer(("127.0.0.1", 0), answer_all)
+        server.start()
+        self.addCleanup(server.stop)
+        settings = Settings(classes=(RequestClass(10_000_000, 10_000_000),), plans=(Plan(),))
+        counters = Counters()
+        engine = Engine(settings, 100, counters)
+        pool = engine.transport = Pool(10, 1 << 20, 250_000, 15_000_000, counters, engine.ended)
+        loop = gevent.spawn(engine.run)
+        self.addCleanup(loop.kill)
+        held = []
+        address = str(server.server_host), int(server.server_port or 0)
+        for i in range(30):
+            node, done = f"s-{i}", Event()
+
+            def answer(_: Result, done: Event = done) -> None:
+                done.set()
+
+            engine.listed(ListKind.FULL, i, [NodeEntry(node, 0)], {node: address})
+            talk = Command(b"BLK.READ", b"", b"", (), ()).exchange
+            due = clock_us() + 10_000_000
+            engine.submit(Request(0, 0, f"v{i}", 1.0, 0, 1, f"k{i}", due, talk, answer, "platform"))
+            held.append(weakref.ref(answer))
+            self.assertTrue(asked.wait(5.0))
+            engine.listed(ListKind.FULL, i, [], {})  # gone while it has the request
+            while engine.nodes:
+                gevent.sleep(0)
+            go.set()
+            self.assertTrue(done.wait(5.0))
+            asked.clear()
+            go.clear()
+        gevent.sleep(0)
+        self.assertEqual(counters["requests.served"], 30)
+        self.assertEqual((len(engine.requests), len(pool._idle), pool._count), (0, 0, 0))
+        self.assertEqual(len(engine.controller.requests), 0)
+        self.assertLessEqual(len(engine.controller.nodes), 1)  # the last goes with the next list
+        self.assertLess(sum(ref() is not None for ref in held), 3)  # deadlines are 10 s away
+
     def test_a_bad_configuration_is_one_line_and_exit_code_2(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             file = Path(folder) / "config.json"
