Ask an overbooked discovery for changes only, and ever more rarely once turned away

Cause: net/discovery.py `run` took 503 for silence: whole list next (`_index = None`) after RETRY_S, for ever. The engine's Subscribe at the start dropped the version too, so 40 whole lists stood before the first watch; GETs were given up after 1.0 s in a queue of 2 s. Change: 503 and 429 keep the version and wait twice as long each time, jittered, from gateways/20 s on; the first call asks for what changed since `known`; Subscribe no longer fetches the whole list; an answer may take 2.5 s more.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -47,12 +47,14 @@
                          config.keepalive_us, self.counters, self.engine.ended)  # fmt: skip
         self.engine.transport = self.pool
         listing = Listing(config.zones, config.kinds, clock_us())
-        self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed)
-        self.engine.fetch_list = self.discovery.refetch
         try:
             version, _, entries, addresses = listing.read(config.known)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ConfigError(f"known: {type(error).__name__}: {error}") from None
+        self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed,
+                                   version if entries else None, config.settings.seed,
+                                   config.settings.gateways)  # fmt: skip
+        self.engine.fetch_list = self.discovery.refetch
         self.engine.listed(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -305,7 +305,9 @@
             case Disconnect(name):
                 if self.transport:
                     self.transport.close_idle(name)
-            case Subscribe() | FetchList():
+            case Subscribe():
+                pass  # the list is watched from the start, and what was missed comes with the next answer
+            case FetchList():
                 self.fetch_list()
             case Log(text):
                 log.info("module: %s", text)
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import random
 import time
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -15,12 +16,20 @@
 
 from rackseam.interface import ListKind, NodeEntry, NodeState
 from stackrouter.core.counters import Counters
+from stackrouter.net.backoff import Backoff
 
 log = logging.getLogger(__name__)
 
 WAIT_MS = 2000  # how long a watch may stay silent. Short: what is told is taken as known 2 s after it
-ANSWER_S = 1.0  # ... and how much longer its answer may take before the connection is given up
+# ... and how much longer its answer may take before the connection is given up. Long: a call that waits its
+# turn behind those of many gateways and is given up costs discovery as much as one that is answered.
+ANSWER_S = 2.5
 RETRY_S = 0.1  # rest after a failed call: within the 200 ms in which a watch goes on
+CALLS_S = (
+    20.0  # calls a second with which all gateways together begin to come back once they were turned away
+)
+REFUSED_MOST_S = 8.0  # most that calls that are turned away are apart
+REFUSALS = frozenset({429, 503})
 LARGEST = 4 << 20
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
@@ -57,6 +66,10 @@
         return int(raw["index"]), bool(raw.get("snapshot")), entries, addresses
 
 
+class RefusedError(Exception):
+    """Discovery is there and turned the call away: it has too many."""
+
+
 class _Response:
     def __init__(self) -> None:
         self.body, self.whole = bytearray(), False
@@ -71,10 +84,13 @@
 
 
 class Discovery:
-    def __init__(self, address: tuple[str, int], listing: Listing, counters: Counters, told: Told) -> None:
+    def __init__(self, address: tuple[str, int], listing: Listing, counters: Counters, told: Told,
+                 known: int | None = None, seed: int = 0, gateways: int = 1) -> None:  # fmt: skip
         self.address, self.listing, self.counters, self.told = address, listing, counters, told
+        least_s = min(REFUSED_MOST_S, max(RETRY_S, gateways / CALLS_S))
+        self._backoff = Backoff(least_s, REFUSED_MOST_S, random.Random(seed))
         self._sock: socket.socket | None = None
-        self._index: int | None = None  # None: the next call fetches the whole list
+        self._index = known  # the version that the gateway has; None: the next call fetches the whole list
         self._moved = Event()
 
     def refetch(self) -> None:
@@ -91,6 +107,12 @@
         while True:
             try:
                 self._call()
+            except RefusedError as error:
+                # No silence: discovery still knows the version, and what is new comes with the next answer.
+                # The whole list would cost it more, and every gateway would ask for it at once.
+                self.counters.add("discovery.refused")
+                log.info("discovery: %s", error)
+                self._moved.wait(self._backoff.refused())
             except Exception as error:  # whatever it sends, the gateway goes on with the list it has
                 if self._moved.is_set():
                     continue  # its watch was broken off
@@ -112,6 +134,7 @@
         if whole or entries:
             self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
         self._index = version
+        self._backoff.answered()
         self.counters.add("discovery.answers")
 
     def _get(self, path: str, within_s: float) -> bytes:
@@ -132,8 +155,11 @@
                 parser.feed_data(data)
             if not parser.should_keep_alive():
                 self._hang_up()
-            if parser.get_status_code() != 200:
-                raise ValueError(f"discovery answered {parser.get_status_code()}")
+            status = parser.get_status_code()
+            if status in REFUSALS:
+                raise RefusedError(f"turned away with {status}")
+            if status != 200:
+                raise ValueError(f"discovery answered {status}")
             return bytes(response.body)
 
     def _hang_up(self) -> None:
