Share a cold node among the gateways that have work for it; spread first calls to discovery

Cause: control.py `_bears` divided what a cold node bears, and its turns, by all gateways. discovery.py `run` called at once after a start. Also found by the new test: a node restarted under its own id was let have what it had served while warm (`served` was kept on a fresh start): 144 units in a second where it bears 14 in three. Change: `_rivals` counts, of all gateways, such a part as the shards asked for here in 5 s are of all shards (all, for a gateway that started within 5 s); turns and half of what a node bears go by that; a fresh start voids `served`; the first call to discovery comes within gateways/10 s, and refused ones are as far apart.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -32,6 +32,9 @@
 EXPECT_MOST = 0.7  # an answer is never expected later than this part of the aim after its sending
 SIZE_PART = 0.75  # part of an answer's time taken to grow with the request's units; the rest is waiting
 COLD_TURNS = 0.5  # part of what a cold node bears that is dealt out in turns of one request a gateway
+RIVALS_MEMORY_US = (
+    5_000_000.0  # shards that had requests of ours within this long tell how many gateways share one
+)
 COLD_SHOWN = 0.5  # what a cold node served of ours counts with this part of the stated multiple as bearable
 COLD_LEAST = 0.1  # a cold share stated below this is not believed when its growth is reckoned
 BROKEN_MOST = 4  # after so many broken connections without an answer between a node counts as silent
@@ -108,7 +111,7 @@
 
 class _Shard:
     def __init__(self, number: int) -> None:
-        self.number, self.tag = number, 0.0
+        self.number, self.tag, self.asked_at = number, 0.0, -1
         self.nodes: list[_Node] = []
         self.reserved: list[tuple[float, int, int, _Lane]] = []  # by the time the reserve suffices
         self.tagged: list[tuple[float, int, int, _Lane]] = []  # by the weight tag
@@ -143,6 +146,7 @@
         self.resent: deque[int] = deque()
         self.list_wait, self.list_call = LIST_RETRY_US, 0
         self.list_longest = settings.ask_every_us * 0.5 or LIST_RETRY_MOST_US
+        self.rivals, self.rivals_at = float(settings.gateways), 0
         self.kicked: dict[int, _Shard] = {}
         self.others = self.shards[-1] = _Shard(-1)
 
@@ -233,6 +237,7 @@
             if entry.launched_us > known.launched and known.launched + known.rate_at > 0:
                 # A fresh start voids what was learned of the node before.
                 known.rate, known.rtt_at, known.trial_wait, known.alone_until = 0.0, 0, 0.0, 0
+                known.served.clear()
             known.launched = max(known.launched, entry.launched_us)
             known.zone = entry.zone
             if entry.shard != known.shard:
@@ -267,6 +272,7 @@
         self.volumes[e.volume, e.plan] = volume  # the longest unused stands first
         volume.gateways = max(volume.gateways, e.gateways)
         shard = self.shards.setdefault(e.shard, _Shard(e.shard))
+        shard.asked_at = self.now
         lane = volume.lanes.setdefault(e.shard, _Lane(volume, shard))
         self.seq += 1
         r = _Request(e, cls, lane, self.now, self.seq, self._first_aim(e))
@@ -509,7 +515,10 @@
         growth = (1 / max(s.cold_share, COLD_LEAST) - 1) / s.cold_us
         bears = s.cold_bears_units * (1 + growth * max(0, since - node.launched))
         shown = sum(u for _, u in node.served) * s.tip_multiple * COLD_SHOWN
-        if sum(u for _, u in node.sent) + units <= max(bears / s.gateways, shown):
+        # Danger: among many gateways an even part is a trickle, for few of them have work for any one node.
+        rivals = self._rivals()
+        even = max(bears / s.gateways, bears * COLD_TURNS / rivals)
+        if sum(u for _, u in node.sent) + units <= max(even, shown):
             return True
         if units > bears / 2 or node.out_n:
             return False
@@ -519,15 +528,29 @@
         # gateway that has sent, or has just started and cannot know whether it had, waits for its next turn.
         pace = COLD_TURNS * s.cold_bears_units / (s.mean_units * max(1, s.fall_us))
         age = max(0, self.started_at - node.launched, node.sent_at - node.launched)
-        first = (s.position + zlib.crc32(f"{node.id} {node.launched}".encode())) % s.gateways + 1
-        round_ = max(0, math.ceil((pace * age * (1 + growth * age / 2) - first) / s.gateways))
-        due = (first + round_ * s.gateways) / pace if pace else math.inf
+        place = (s.position + zlib.crc32(f"{node.id} {node.launched}".encode())) % s.gateways + 1
+        first = place * rivals / s.gateways
+        round_ = max(0, math.ceil((pace * age * (1 + growth * age / 2) - first) / rivals))
+        due = (first + round_ * rivals) / pace if pace else math.inf
         due = (math.sqrt(1 + 2 * growth * due) - 1) / growth if growth else due
         if node.launched + due <= self.now:
             return True
         self._wake(node, node.launched + math.ceil(min(due, s.cold_us + s.fall_us)))
         return False
 
+    def _rivals(self) -> float:
+        """Gateways that may have work for one node: such a part of all as the shards asked for here are.
+
+        A gateway that has just started has seen too little to tell; it counts all.
+        """
+        if self.now >= self.rivals_at:
+            since, shards = self.now - RIVALS_MEMORY_US, self.shards.values()
+            asked = sum(shard.asked_at > max(0, since) for shard in shards) / max(1, len(shards) - 1)
+            part = max(asked, 1 - (self.now - self.started_at) / RIVALS_MEMORY_US)
+            self.rivals = max(1.0, min(1.0, part) * self.s.gateways)
+            self.rivals_at = self.now + int(self.aim * FULL_REST_AIMS)
+        return self.rivals
+
     def _node_for(self, shard: _Shard, r: _Request, reserved: bool = False) -> _Node | None:
         """The ready node of the shard with most room; for a new object the best of a few."""
         best, most, among = None, 0.0, shard.nodes
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -25,9 +25,9 @@
 # turn behind those of many gateways and is given up costs discovery as much as one that is answered.
 ANSWER_S = 2.5
 RETRY_S = 0.1  # rest after a failed call: within the 200 ms in which a watch goes on
-CALLS_S = (
-    20.0  # calls a second with which all gateways together begin to come back once they were turned away
-)
+# Calls a second that all gateways together make when they start together, or come back after being turned
+# away: what is asked beyond discovery's pace is turned away late, and delays all others by a turn.
+CALLS_S = 10.0
 REFUSED_MOST_S = 8.0  # most that calls that are turned away are apart
 REFUSALS = frozenset({429, 503})
 LARGEST = 4 << 20
@@ -87,8 +87,9 @@
     def __init__(self, address: tuple[str, int], listing: Listing, counters: Counters, told: Told,
                  known: int | None = None, seed: int = 0, gateways: int = 1) -> None:  # fmt: skip
         self.address, self.listing, self.counters, self.told = address, listing, counters, told
-        least_s = min(REFUSED_MOST_S, max(RETRY_S, gateways / CALLS_S))
-        self._backoff = Backoff(least_s, REFUSED_MOST_S, random.Random(seed))
+        apart_s, rng = min(REFUSED_MOST_S, max(RETRY_S, gateways / CALLS_S)), random.Random(seed)
+        self._backoff = Backoff(apart_s, REFUSED_MOST_S, rng)
+        self.first_s = rng.random() * apart_s  # gateways that were killed together start together
         self._sock: socket.socket | None = None
         self._index = known  # the version that the gateway has; None: the next call fetches the whole list
         self._moved = Event()
@@ -104,6 +105,7 @@
         self._hang_up()
 
     def run(self) -> None:
+        self._moved.wait(self.first_s)
         while True:
             try:
                 self._call()
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -50,6 +50,7 @@
         discovery = Discovery(
             server.address, Listing([], [], 0), counters, lambda *_: None, known=5, seed=1, gateways=2
         )
+        discovery.first_s = 0.0
         greenlet = gevent.spawn(discovery.run)
         self.addCleanup(greenlet.kill)
         with gevent.Timeout(10):
@@ -61,11 +62,23 @@
         self.assertGreater(waits[2], waits[0])
         self.assertGreaterEqual(counters["discovery.refused"], 3)
 
+    def test_forty_gateways_that_start_together_do_not_all_ask_at_once(self) -> None:
+        address, listing, counters = ("127.0.0.1", 1), Listing([], [], 0), Counters()
+        first = sorted(
+            Discovery(address, listing, counters, lambda *_: None, seed=seed, gateways=40).first_s
+            for seed in range(40)
+        )
+        # 0.13 s a call at discovery and 2 s of queue: 7.7 a second are served, 15 may wait.
+        self.assertLess(max(sum(t <= x < t + 1 for x in first) for t in first), 7.7 + 15)
+        self.assertLess(first[-1], 4.0)
+        alone = Discovery(address, listing, counters, lambda *_: None, seed=1, gateways=4)
+        self.assertLess(alone.first_s, 0.5)
+
     def test_forty_gateways_turned_away_at_once_come_back_apart_and_slower(self) -> None:
         gateways, took_s = 40, 0.13  # a call's turn at discovery
         waits = [Backoff(gateways / CALLS_S, 8.0, random.Random(seed)) for seed in range(gateways)]
         back = sorted(w.refused() for w in waits)
-        self.assertLess(max(sum(t <= x < t + 0.5 for x in back) for t in back), gateways / 2)
+        self.assertLess(max(sum(t <= x < t + 0.5 for x in back) for t in back), gateways / 3)
         again = [w.refused() for w in waits]
         self.assertLess(gateways / (sum(again) / gateways), 1.5 / took_s)
         waits[0].answered()
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -47,3 +47,44 @@
             age = max(0, at - born) / SETTINGS.cold_us
             bears = SETTINGS.cold_bears_units * (1 + (1 / SETTINGS.cold_share - 1) * age)
             assert sum(u for t, u in sends if at - SETTINGS.fall_us < t <= at) <= bears
+
+
+def start_cold_for_few(outcome: Outcome) -> tuple[list[int], int]:
+    """When requests of 2 units went to a new node for which 8 of 40 gateways have work, as for any other."""
+    settings = replace(SETTINGS, gateways=40, fall_us=3 * S, cold_us=16 * S, cold_bears_units=14.0)
+    gateways = [Gateway(replace(settings, position=i, seed=i), nodes=40) for i in range(40)]
+    sends: list[int] = []
+    born = gateways[0].now + 6 * S
+    for step in range(110):
+        for i, g in enumerate(gateways):
+            g.wait(100 * MS)
+            if step == 60:
+                g.do(ListUpdate(ListKind.DELTA, (entry("n0", 0, launched_us=born),)))
+            for k in range(8):
+                # A cold node's work is asked for more often than it is let through.
+                if (shard := (i + 5 * k) % 40) == 0 or step % 10 == k:
+                    g.ask(volume=f"v{k}", shard=shard, units=2.0, grace_us=S)
+            while out := [(t, a) for t, a in g.log if isinstance(a, Send)]:
+                g.log.clear()
+                for t, a in out:  # an answer may let the next one out
+                    new = a.node == "n0" and t > born
+                    sends += [t] * new
+                    g.answer(a.request, outcome if new else Outcome.DONE, node=a.node, closed=True)
+            g.log.clear()
+    return sends, born
+
+
+def test_a_cold_node_gets_work_though_few_of_many_gateways_have_any_for_it() -> None:
+    """An even part for forty is a trickle where eight have work: 50 units in 3 s, where 180 were served."""
+    sends, born = start_cold_for_few(Outcome.DONE)
+    assert 2.0 * sum(t < born + 3 * S for t in sends) > 100.0
+
+
+def test_few_gateways_together_keep_to_what_an_unanswering_cold_node_bears() -> None:
+    """Also where the node has restarted: what it served before says nothing of what it bears now."""
+    for outcome in (Outcome.TIMEOUT, Outcome.FULL):
+        sends, born = start_cold_for_few(outcome)
+        assert sends
+        for at in sends:
+            bears = 14.0 * (1 + (1 / 0.2 - 1) * max(0, at - 3 * S - born) / (16 * S))
+            assert 2.0 * sum(at - 3 * S < t <= at for t in sends) <= bears
