--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -29,6 +29,9 @@
 # away: what is asked beyond discovery's pace is turned away late, and delays all others by a turn.
 CALLS_S = 10.0
 REFUSED_MOST_S = 8.0  # most that calls that are turned away are apart
+LOST_MOST_S = (
+    1.0  # most that calls are apart that fail otherwise: such a call has already waited, or costs little
+)
 REFUSALS = frozenset({429, 503})
 LARGEST = 4 << 20
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
@@ -89,7 +92,9 @@
         self.address, self.listing, self.counters, self.told = address, listing, counters, told
         apart_s, rng = min(REFUSED_MOST_S, max(RETRY_S, gateways / CALLS_S)), random.Random(seed)
         self._backoff = Backoff(apart_s, REFUSED_MOST_S, rng)
+        self._lost = Backoff(RETRY_S, LOST_MOST_S, rng)
         self.first_s = rng.random() * apart_s  # gateways that were killed together start together
+        self._size = 0  # nodes in the last whole list
         self._sock: socket.socket | None = None
         self._index = known  # the version that the gateway has; None: the next call fetches the whole list
         self._moved = Event()
@@ -123,7 +128,7 @@
                 self._hang_up()
                 # After silence nobody knows what was missed.
                 self._index = None
-                self._moved.wait(RETRY_S)
+                self._moved.wait(self._lost.refused())
 
     def _call(self) -> None:
         self._moved.clear()
@@ -133,12 +138,24 @@
         if self._moved.is_set():
             return  # the old address's answer: its version means nothing at the new one
         version, whole, entries, addresses = self.listing.read(raw)
+        self._doubt(version, whole, len(entries), len(addresses))
         if whole or entries:
             self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
         self._index = version
         self._backoff.answered()
+        self._lost.answered()
         self.counters.add("discovery.answers")
 
+    def _doubt(self, version: int, whole: bool, entries: int, nodes: int) -> None:
+        """What is odd is said, counted and believed: a node told to be gone must get nothing new."""
+        if nodes < entries:
+            self.counters.add("discovery.named_twice")
+            log.warning("discovery: version %d names nodes twice, the last entry counts", version)
+        if whole and nodes * 2 < self._size:
+            self.counters.add("discovery.shrunk")
+            log.warning("discovery: version %d names %d nodes, %d before", version, nodes, self._size)
+        self._size = nodes if whole else self._size
+
     def _get(self, path: str, within_s: float) -> bytes:
         with gevent.Timeout(within_s, TimeoutError("discovery is silent")):
             sock = self._sock
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -6,14 +6,21 @@
 import random
 import time
 import unittest
+from collections.abc import Sequence
+from dataclasses import replace
 from urllib.parse import parse_qs, urlparse
 
 import gevent
+from gevent import socket
+from gevent.event import Event
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
+from rackseam.interface import NodeEntry, Outcome, Send
 from stackrouter.core.counters import Counters
 from stackrouter.net.backoff import Backoff
 from stackrouter.net.discovery import CALLS_S, Discovery, Listing
+from tests.gateway import MS, SETTINGS, Gateway, S
 
 Call = tuple[float, str | None]  # when, and the version that was asked for
 
@@ -42,7 +49,74 @@
         return [body]
 
 
+class Scripted:
+    """A discovery that gives these bodies in turn, b"" for a broken connection, and then only waits."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self.left, self.last = list(bodies), Event()
+        self._server = StreamServer(("127.0.0.1", 0), self._answer)
+        self._server.start()
+        self.address = ("127.0.0.1", int(self._server.server_port or 0))
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def _answer(self, sock: socket.socket, _: object) -> None:
+        while sock.recv(4096):
+            if not self.left:
+                self.last.set()
+                continue
+            if not (body := self.left.pop(0)):
+                return
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+def whole_list(version: int, *names: str) -> bytes:
+    nodes = [{"name": n, "address": "127.0.0.1:1", "group": 0, "status": "up"} for n in names]
+    return json.dumps({"index": version, "snapshot": True, "endpoints": nodes}).encode()
+
+
 class LargeFleet(unittest.TestCase):
+    def test_odd_and_garbled_lists_are_counted_said_once_each_and_the_last_good_one_stays(self) -> None:
+        server = Scripted(
+            whole_list(1, "a", "b", "c", "a"), b"", b'{"index": 2, "endp', b"[7]", whole_list(3, "a")
+        )
+        self.addCleanup(server.stop)
+        counters, told = Counters(), list[tuple[int, int]]()
+
+        def tell(kind: object, version: int, entries: Sequence[NodeEntry], _: object) -> None:
+            told.append((version, len({e.node for e in entries})))
+
+        discovery = Discovery(server.address, Listing([], [], 0), counters, tell, seed=1)
+        discovery.first_s = 0.0
+        greenlet = gevent.spawn(discovery.run)
+        self.addCleanup(greenlet.kill)
+        with self.assertLogs("stackrouter.net.discovery", "WARNING") as logs:
+            self.assertTrue(server.last.wait(10))
+        self.assertEqual(told, [(1, 3), (3, 1)])
+        for name, times in (("named_twice", 1), ("shrunk", 1), ("failed", 3), ("answers", 2)):
+            self.assertEqual(counters[f"discovery.{name}"], times, name)
+        self.assertEqual(len(logs.output), 5)
+
+    def test_forty_gateways_try_a_node_that_refuses_connections_rarely_and_never_together(self) -> None:
+        tries: list[int] = []
+        gateways = [Gateway(replace(SETTINGS, gateways=40, position=i, seed=i)) for i in range(40)]
+        for _ in range(100):
+            for g in gateways:
+                g.wait(100 * MS)
+                g.ask(grace_us=S)
+                while out := [(t, a) for t, a in g.log if isinstance(a, Send)]:
+                    g.log.clear()
+                    for t, a in out:
+                        tries.append(t)
+                        g.answer(a.request, Outcome.CONNECT_FAILED)
+                # None is left without its answer.
+                self.assertLess(len(g.controller.requests), 15)
+        late = [t for t in tries if t > 55 * S]
+        # 40 requests each come every 100 ms; a gateway tries once in 1.2 to 2 s.
+        self.assertLess(len(late), 40 * 5 / 1.0)
+        self.assertLess(max(sum(t <= x < t + 100 * MS for x in late) for t in late), 20)
+
     def test_a_gateway_that_discovery_turns_away_asks_for_changes_only_and_ever_rarer(self) -> None:
         server = Overbooked(takes=4)
         self.addCleanup(server.stop)
