--- a/stackrouter/trace/format.py
+++ b/stackrouter/trace/format.py
@@ -91,7 +91,7 @@
     view, at, end = memoryview(data), 0, len(data)
     while at < end:
         if bytes(view[at : at + len(MARK_START)]) != MARK_START:
-            if bytes(view[at + HEAD.size : at + HEAD.size + 4]) == INDEX and read_index(view) is not None:
+            if _index_starts(view, at):
                 return
             following = _next_mark(view, at + 1)
             cut = following == end and MARK_START.startswith(bytes(view[at : at + len(MARK_START)]))
@@ -128,6 +128,12 @@
             at = following
 
 
+def _index_starts(view: memoryview, at: int) -> bool:
+    """Whether the file's index begins here; a damaged mark of a block may look like one."""
+    tail = bytes(view[-TAIL.size :])
+    return read_index(view[at:]) is not None and TAIL.unpack(tail)[0] == len(view) - at
+
+
 def block_at(data: memoryview, place: Place) -> pb.Block:
     """A block that `blocks` has found whole."""
     _, length, _, _ = MARK.unpack_from(data, place.offset + HEAD.size)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from rackseam.interface import ListKind, NodeEntry, NodeState, Outcome
@@ -104,6 +104,7 @@
 
 
 @given(st.integers(0, 1 << 30), st.integers(1, 255), st.integers(1, 40))
+@example(11, 11, 1)  # turns the mark of the first block into that of an index
 def test_damage_anywhere_is_reported_and_costs_what_it_touches_alone(at: int, flip: int, length: int) -> None:
     data = bytearray(file_of(5))
     index = read_index(bytes(data))
