--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -32,9 +32,7 @@
 EXPECT_MOST = 0.7  # an answer is never expected later than this part of the aim after its sending
 SIZE_PART = 0.75  # part of an answer's time taken to grow with the request's units; the rest is waiting
 COLD_TURNS = 0.5  # part of what a cold node bears that is dealt out in turns of one request a gateway
-RIVALS_MEMORY_US = (
-    5_000_000.0  # shards that had requests of ours within this long tell how many gateways share one
-)
+RIVALS_MEMORY_US = 5_000_000.0  # shards asked for within this long tell how many gateways share one
 COLD_SHOWN = 0.5  # what a cold node served of ours counts with this part of the stated multiple as bearable
 COLD_LEAST = 0.1  # a cold share stated below this is not believed when its growth is reckoned
 BROKEN_MOST = 4  # after so many broken connections without an answer between a node counts as silent
