End a trace only after the flush that is under way, and write nothing to it afterwards

Need: the stop may come while a thread flushes (edge/wiring.py `_write`); trace/record.py `close` then packed blocks and the index beside it, and a flush after the end opened the file anew and so emptied it. Ruled out: a lock's wait stalling the event loop for long: it lasts one write of what is queued (65,536 facts at most). Change: a lock round flush and close, and a mark that the end has come.

--- a/stackrouter/trace/record.py
+++ b/stackrouter/trace/record.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import threading
 from collections import deque
 from collections.abc import Callable
 from pathlib import Path
@@ -58,14 +59,16 @@
 
 
 class Recorder:
-    """A subscriber. `flush` does the work and may block: call it from a thread, one call at a time."""
+    """A subscriber. `flush` does the work and may block: call it from a thread."""
 
     def __init__(self, sink: Sink, most_facts: int = 16 * BLOCK_FACTS) -> None:
         self.sink, self.most_facts = sink, most_facts
         self.left_out = 0
         self.on_block: Callable[[], None] = lambda: None  # a block's worth is there
         self._waiting: deque[facts.Fact] = deque()
-        self._failed = False
+        self._failed = self._closed = False
+        # Guards against an end that comes while a thread still writes: two at once would mix their blocks.
+        self._writing = threading.Lock()
 
     def __call__(self, fact: facts.Fact) -> None:
         if len(self._waiting) >= self.most_facts:
@@ -77,6 +80,11 @@
 
     def flush(self, all_of_it: bool = False) -> None:
         """Write what fills blocks; with `all_of_it` the rest, too."""
+        with self._writing:
+            if not self._closed:
+                self._flush(all_of_it)
+
+    def _flush(self, all_of_it: bool) -> None:
         while len(self._waiting) >= BLOCK_FACTS or (all_of_it and self._waiting):
             batch = [self._waiting.popleft() for _ in range(min(BLOCK_FACTS, len(self._waiting)))]
             try:
@@ -92,8 +100,11 @@
                 self._failed = True
 
     def close(self) -> None:
-        self.flush(all_of_it=True)
-        try:
-            self.sink.close()
-        except OSError as error:
-            log.warning("trace: %s: %s", self.sink.path.name, error.strerror)
+        """Waits for a flush that is under way; what comes after it writes nothing more."""
+        with self._writing:
+            self._flush(all_of_it=True)
+            self._closed = True
+            try:
+                self.sink.close()
+            except OSError as error:
+                log.warning("trace: %s: %s", self.sink.path.name, error.strerror)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import threading
 from pathlib import Path
 
 import pytest
@@ -144,6 +145,34 @@
     assert open_traces([tmp_path / "t"]).left_out == 150
 
 
+def test_an_end_waits_for_the_flush_under_way_and_a_later_one_writes_nothing(tmp_path: Path) -> None:
+    recorder = Recorder(sink := Sink(tmp_path / "t", HEADER, 1 << 20, 1))
+    write, begun, go = sink.write, threading.Event(), threading.Event()
+
+    def slow(batch: list[facts.Fact], left_out: int) -> None:
+        begun.set()
+        go.wait(10)
+        write(batch, left_out)
+
+    recorder(facts.GivenUp(2_000, 1))
+    sink.write = slow  # type: ignore[method-assign]
+    flush = threading.Thread(target=recorder.flush, args=(True,))
+    flush.start()
+    assert begun.wait(10)
+    recorder(facts.GivenUp(2_001, 2))
+    end = threading.Thread(target=recorder.close)
+    end.start()
+    end.join(0.05)
+    assert end.is_alive()
+    go.set()
+    end.join(10)
+    flush.join(10)
+    recorder(facts.GivenUp(2_002, 3))
+    recorder.flush(True)
+    found = open_traces([tmp_path / "t"])
+    assert [fact.at for run in found.runs for fact in run.read()] == [2_000, 2_001] and not found.damage
+
+
 @pytest.mark.skipif(not os.path.exists("/dev/full"), reason="needs a full disk")
 def test_a_full_disk_costs_facts_not_the_gateway() -> None:
     recorder = Recorder(Sink(Path("/dev/full"), HEADER, 1 << 20, 0))
