--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -168,8 +168,9 @@
 
 
 class Player:
-    def __init__(self, script: Path) -> None:
-        self.script = script
+    def __init__(self, script: Path, watched: bool = False) -> None:
+        """`watched`: as the platform starts it, without the operator's file, and every refused call said."""
+        self.script, self.watched = script, watched
         self.listening = {name: listener() for name in ("s1", "s2")}
         self.ends: dict[str, socket.socket] = {}
         self.names: dict[str, bytes] = {}
@@ -199,9 +200,12 @@
         self.trace = folder / "gateway.trace"
         (folder / "edge.txtpb").write_text(EDGE.format(listen=self.sftp, trace=self.trace))
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
-        environ |= {"GW_CONFIG": str(folder / "config.json"), "GW_EDGE": str(folder / "edge.txtpb")}
+        environ["GW_CONFIG"] = str(folder / "config.json")
+        if not self.watched:
+            environ["GW_EDGE"] = str(folder / "edge.txtpb")
+        module = "tests.refused" if self.watched else "stackrouter"
         self.program = subprocess.Popen(
-            [sys.executable, "-m", "stackrouter"], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True
+            [sys.executable, "-m", module], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True
         )
         assert self.program.stderr is not None
         while "listening" not in (line := self.program.stderr.readline()):
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,57 @@
+"""The deploy file's `build` and `run` as the mass bench's page asks; no refused call on the platform's paths.
+
+The page: `run` ends by `exec` in one process, linked dynamically against the C library; fork, other programs,
+io_uring, splice, sendfile and sockets other than TCP or UDP over IPv4 are refused, and a thread that neither
+waits nor ends for 20 s is a crash. The operator's file is off on the platform; what it turns on may fork once
+(`edge.load.load_apart`) and start threads (its trace writer), so it is kept out of these plays.
+"""
+
+from __future__ import annotations
+
+import shlex
+import subprocess
+import sys
+import tomllib
+import unittest
+
+from tests.exchange import ROOT, Player
+
+# What the platform does on its own days: serve, pipeline, lose a node, reload, turn away, stop.
+PLAYS = ("served", "pipelined", "lost_node", "reload", "limit", "client_gone", "stop")
+SHELL_JOINS = (";", "&&", "||", "|", "&")
+
+
+class DeployFile(unittest.TestCase):
+    def setUp(self) -> None:
+        self.deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+    def test_run_is_one_exec_of_the_lean_start(self) -> None:
+        words = shlex.split(self.deploy["run"])
+        self.assertEqual(words[0], "exec", "run must end in the program itself, by exec")
+        self.assertFalse(set(words) & set(SHELL_JOINS), "nothing may follow or stand beside the exec")
+        self.assertEqual(words[2:], ["-m", "stackrouter"], "the lean start, which imports no command line")
+        self.assertEqual(words[1], ".venv/bin/python", "the interpreter that build made")
+
+    def test_build_makes_the_interpreter_that_run_starts(self) -> None:
+        build = self.deploy["build"]
+        self.assertIn("python3 -m venv .venv", build)
+        self.assertIn("pip -q install -r requirements.txt", build, "pinned requirements, no extras")
+
+
+class RefusedCalls(unittest.TestCase):
+    def test_platform_paths_make_no_refused_call(self) -> None:
+        for name in PLAYS:
+            script = ROOT / "tests" / "exchanges" / "platform" / f"{name}.txt"
+            with self.subTest(name), Player(script, watched=True) as p:
+                p.play()
+                refused = [line for line in p.log if line.startswith("REFUSED")]
+                self.assertEqual(refused, [], f"{name}: the bench would refuse these")
+
+    def test_a_refused_call_is_seen(self) -> None:
+        # The watcher itself must see what it looks for, or the test above could not fail.
+        code = "import tests.refused as r; r.watch(); import os, socket, threading"
+        code += "; socket.socket(socket.AF_UNIX); threading.Thread(target=int).start(); os.system('true')"
+        command = [sys.executable, "-c", code]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
+        said = [line.split()[1] for line in done.stderr.splitlines() if line.startswith("REFUSED")]
+        self.assertEqual(said, ["socket.__new__", "thread", "os.system"])
