--- a/tests/refused.py
+++ b/tests/refused.py
@@ -18,8 +18,8 @@
 from collections.abc import Callable
 from typing import Any
 
-REFUSED_EVENTS = ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system")
-REFUSED_EVENTS += ("subprocess.Popen",)
+PROGRAMS = ("os.exec", "os.posix_spawn", "os.spawn", "os.system", "subprocess.Popen")
+REFUSED_EVENTS = ("os.fork", "os.forkpty", *PROGRAMS)
 INET = (socket.AF_INET,)
 
 
