Ask discovery at once after a start: a spread first call let drains pass unseen

The gateways' logs hold only 'listening' lines: no call to discovery was turned away or failed, so neither back-off was at work.

Cause: net/discovery.py, Discovery.__init__ 'self.first_s = rng.random() * apart_s' with apart_s = min(8, Balancers/10) = 8 s for 200 gateways, and run() 'self._moved.wait(self.first_s)': a gateway that has just started waits up to 8 s before its first call.

Ruled out: refusals of discovery (none logged), the module's drain grace (the sends came 0.30 to 0.44 s after told, past any slack).

Change: the first call goes at once; only calls that are turned away are spread (Backoff as before).

--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -25,8 +25,8 @@
 # turn behind those of many gateways and is given up costs discovery as much as one that is answered.
 ANSWER_S = 2.5
 RETRY_S = 0.1  # rest after a failed call: within the 200 ms in which a watch goes on
-# Calls a second that all gateways together make when they start together, or come back after being turned
-# away: what is asked beyond discovery's pace is turned away late, and delays all others by a turn.
+# Calls a second that all gateways together make when they come back after being turned away: what is asked
+# beyond discovery's pace is turned away late, and delays all others by a turn.
 CALLS_S = 10.0
 REFUSED_MOST_S = 8.0  # most that calls that are turned away are apart
 LOST_MOST_S = (
@@ -93,7 +93,6 @@
         apart_s, rng = min(REFUSED_MOST_S, max(RETRY_S, gateways / CALLS_S)), random.Random(seed)
         self._backoff = Backoff(apart_s, REFUSED_MOST_S, rng)
         self._lost = Backoff(RETRY_S, LOST_MOST_S, rng)
-        self.first_s = rng.random() * apart_s  # gateways that were killed together start together
         self._size = 0  # nodes in the last whole list
         self._sock: socket.socket | None = None
         self._index = known  # the version that the gateway has; None: the next call fetches the whole list
@@ -110,7 +109,9 @@
         self._hang_up()
 
     def run(self) -> None:
-        self._moved.wait(self.first_s)
+        # The first call goes at once, also where many gateways start together: what discovery has counts
+        # as told to a gateway that did not ask, and a node drained meanwhile would still be sent work.
+        # Only calls that are turned away are spread.
         while True:
             try:
                 self._call()
