Accept on the listening socket that the platform hands over in GW_LISTEN_FD

Cause: net/listener.py, Listener.__init__ always made a socket and bound config.listen; config.py never read GW_LISTEN_FD.

Change: config.py reads GW_LISTEN_FD (digits, else one line and exit 2); Listener takes the inherited descriptor and listens on it instead of binding.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -60,7 +60,9 @@
         gevent.spawn(self.discovery.run)
         names = Names(config.classes, config.plans, config.settings, config.shards)
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
-        self.listeners = [Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY)]
+        self.listeners = [
+            Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY, config.listen_fd)
+        ]
         if sftp is not None:
             session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
             self.listeners.append(Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b""))
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -42,6 +42,7 @@
     keepalive_us: int
     client_sockets: int
     node_sockets: int
+    listen_fd: int | None = None  # the clients' listening socket, held by the platform during an upgrade
 
 
 def address_of(text: Any, name: str) -> tuple[str, int]:
@@ -51,6 +52,15 @@
     return host, int(port)
 
 
+def descriptor_of(text: str | None) -> int | None:
+    """GW_LISTEN_FD: a descriptor that this process inherited, or unset or empty for none."""
+    if not text:
+        return None
+    if not text.isdigit():
+        raise ConfigError(f"GW_LISTEN_FD: not a descriptor: {text!r}")
+    return int(text)
+
+
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     path = environ.get("GW_CONFIG")
     if not path:
@@ -79,6 +89,7 @@
     return Config(
         name=str(environ.get("GW_NAME") or raw.get("name") or "gateway"),
         listen=address_of(environ.get("GW_LISTEN") or raw.get("listen"), "GW_LISTEN"),
+        listen_fd=descriptor_of(environ.get("GW_LISTEN_FD")),
         discovery=address_of(environ.get("GW_DISCOVERY") or raw.get("discovery"), "GW_DISCOVERY"),
         # On sockets a refusal can always say when to come back, whatever the simulator's clients hear.
         settings=replace(
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -214,15 +214,23 @@
 class Listener:
     def __init__(self, address: tuple[str, int], most: int, counters: Counters,
                  session: Callable[[Callable[[], None]], Session], patience: Patience,
-                 busy: bytes) -> None:  # fmt: skip
+                 busy: bytes, inherited: int | None = None) -> None:  # fmt: skip
+        """`inherited`: a listening socket's descriptor, used instead of binding `address`; else OSError.
+
+        At an upgrade the platform holds the clients' socket and both processes share it: binding the address
+        again would fail, and a socket of our own would shut the old process's door.
+        """
         self.most, self.counters, self.session = most, counters, session
         self.patience, self.busy = patience, busy
         self.connections: dict[Connection, None] = {}  # the longest inactive first
         self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind(address)
+        if inherited is not None:
+            self._sock = socket.socket(fileno=inherited)
+        else:
+            self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._sock.bind(address)
         self._sock.listen(BACKLOG)
         self.address = self._sock.getsockname()
         self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._sweep)]
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -55,3 +55,48 @@
         done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
         said = [line.split()[1] for line in done.stderr.splitlines() if line.startswith("REFUSED")]
         self.assertEqual(said, ["socket.__new__", "thread", "os.system"])
+
+
+class Upgrade(unittest.TestCase):
+    def test_a_start_takes_the_clients_socket_that_the_platform_holds(self) -> None:
+        # At an upgrade the platform holds the listening socket (GW_LISTEN_FD) and the old
+        # process still has the address: binding it again ended the start with 'Address already in use'.
+        import json
+        import os
+        import socket
+        import tempfile
+
+        from tests.exchange import SETTINGS, Discovery
+
+        held = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(held.close)
+        discovery = Discovery([], silent=False)
+        self.addCleanup(discovery.server_close)
+        self.addCleanup(discovery.shutdown)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        config = {
+            "listen": "{}:{}".format(*held.getsockname()),
+            "discovery": "{}:{}".format(*discovery.server_address),
+            "known": {"index": 1, "snapshot": True, "endpoints": []},
+            "settings": SETTINGS,
+        }
+        path = os.path.join(folder.name, "config.json")
+        with open(path, "w") as file:
+            json.dump(config, file)
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+        # The platform names descriptor 3; any inherited number is alike to the program.
+        environ |= {"GW_CONFIG": path, "GW_LISTEN_FD": str(held.fileno())}
+        program = subprocess.Popen(
+            [sys.executable, "-m", "stackrouter"], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True,
+            pass_fds=(held.fileno(),),
+        )  # fmt: skip
+        self.addCleanup(program.wait)
+        self.addCleanup(program.kill)
+        assert program.stderr is not None
+        self.addCleanup(program.stderr.close)
+        line = program.stderr.readline()
+        self.assertIn("listening", line)
+        with socket.create_connection(held.getsockname(), timeout=10) as client:
+            client.sendall(b"*1\r\n$4\r\nPING\r\n")
+            self.assertEqual(client.recv(64), b"+PONG\r\n")
