Open the operators' door: status says SUCCESS while the process serves

Cause: the program had no such door (config.py read no admin, nothing listened there).

Gateway.answer: status is 'SUCCESS serving', 'FAILURE stopping' after SIGTERM; standby and active are not built and answer FAILURE.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -23,6 +23,7 @@
 from stackrouter.fronts.sftp.client import PATIENCE as SFTP_PATIENCE
 from stackrouter.fronts.sftp.client import SftpSession, Shared
 from stackrouter.fronts.sftp.config import SftpConfig
+from stackrouter.net.admin import Admin
 from stackrouter.net.discovery import Discovery, Listing
 from stackrouter.net.listener import Listener, Session
 from stackrouter.net.pool import Pool
@@ -68,6 +69,7 @@
             self.listeners.append(Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b""))
         self._limit(config)
         self._terminated = Event()
+        self.admin = Admin(config.admin, self.answer) if config.admin else None
         self.extras: Extras | None = None  # what the operator's file turns on
 
     def _limit(self, config: Config) -> None:
@@ -94,6 +96,12 @@
     def terminate(self) -> None:
         self._terminated.set()
 
+    def answer(self, call: str) -> str:
+        """The operators' door: `status` says whether this process serves; draining by it is not built yet."""
+        if call == "status":
+            return "FAILURE stopping" if self._terminated.is_set() else "SUCCESS serving"
+        return f"FAILURE {call[:40]!r}: not a call of this gateway"
+
     def print_counters(self) -> None:
         print(self.counters.line(), file=sys.stderr, flush=True)
         if self.extras is not None:
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -43,6 +43,7 @@
     client_sockets: int
     node_sockets: int
     listen_fd: int | None = None  # the clients' listening socket, held by the platform during an upgrade
+    admin: tuple[str, int] | None = None  # the operators' door
 
 
 def address_of(text: Any, name: str) -> tuple[str, int]:
@@ -90,6 +91,7 @@
         name=str(environ.get("GW_NAME") or raw.get("name") or "gateway"),
         listen=address_of(environ.get("GW_LISTEN") or raw.get("listen"), "GW_LISTEN"),
         listen_fd=descriptor_of(environ.get("GW_LISTEN_FD")),
+        admin=address_of(door, "GW_ADMIN") if (door := environ.get("GW_ADMIN") or raw.get("admin")) else None,
         discovery=address_of(environ.get("GW_DISCOVERY") or raw.get("discovery"), "GW_DISCOVERY"),
         # On sockets a refusal can always say when to come back, whatever the simulator's clients hear.
         settings=replace(
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -66,7 +66,7 @@
         import socket
         import tempfile
 
-        from tests.exchange import SETTINGS, Discovery
+        from tests.exchange import SETTINGS, Discovery, free_address
 
         held = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(held.close)
@@ -86,7 +86,8 @@
             json.dump(config, file)
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
         # The platform names descriptor 3; any inherited number is alike to the program.
-        environ |= {"GW_CONFIG": path, "GW_LISTEN_FD": str(held.fileno())}
+        door = free_address()
+        environ |= {"GW_CONFIG": path, "GW_LISTEN_FD": str(held.fileno()), "GW_ADMIN": door}
         program = subprocess.Popen(
             [sys.executable, "-m", "stackrouter"], cwd=ROOT, env=environ, stderr=subprocess.PIPE, text=True,
             pass_fds=(held.fileno(),),
@@ -100,3 +101,11 @@
         with socket.create_connection(held.getsockname(), timeout=10) as client:
             client.sendall(b"*1\r\n$4\r\nPING\r\n")
             self.assertEqual(client.recv(64), b"+PONG\r\n")
+        # The new process says yes at the operators' door, also while another caller there says nothing.
+        host, port = door.split(":")
+        silent = socket.create_connection((host, int(port)), timeout=10)
+        self.addCleanup(silent.close)
+        with socket.create_connection((host, int(port)), timeout=10) as caller:
+            caller.sendall(b"status\n")
+            caller.settimeout(1.0)
+            self.assertTrue(caller.recv(64).startswith(b"SUCCESS"))
