Drop the door's unused stop; a call is a whole line or what came before the close

Seen on reading the change again: Admin.stop was never called (the door stays open until the process ends, and status says FAILURE once it stops), and _read_line took a half call that timed out for a whole one, against its docstring; a call too long was cut, not refused.

--- a/stackrouter/net/admin.py
+++ b/stackrouter/net/admin.py
@@ -32,11 +32,7 @@
         self._sock.bind(address)
         self._sock.listen(BACKLOG)
         self.address = self._sock.getsockname()
-        self._greenlet = gevent.spawn(self._accept)
-
-    def stop(self) -> None:
-        self._greenlet.kill()
-        self._sock.close()
+        gevent.spawn(self._accept)  # open until the process ends: status says FAILURE once it stops
 
     def _accept(self) -> None:
         while True:
@@ -64,7 +60,8 @@
 
 
 def _read_line(sock: socket.socket) -> str | None:
-    """The call's word, or None if it was not whole within LINE_S or is too long or not ASCII."""
+    """The call's word: a line, or what came before the caller closed; None if not whole within LINE_S,
+    longer than LONGEST, or not ASCII."""
     data = b""
     with contextlib.suppress(gevent.Timeout), gevent.Timeout(LINE_S):
         while b"\n" not in data and len(data) <= LONGEST:
@@ -73,10 +70,14 @@
             except OSError:
                 return None
             if not chunk:
-                break
+                return _word(data)
             data += chunk
     line, end, _ = data.partition(b"\n")
-    if not end and not data:
+    return _word(line) if end else None
+
+
+def _word(line: bytes) -> str | None:
+    if not line or len(line) > LONGEST:
         return None
     try:
         return line.decode("ascii").strip()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -109,3 +109,20 @@
             caller.sendall(b"status\n")
             caller.settimeout(1.0)
             self.assertTrue(caller.recv(64).startswith(b"SUCCESS"))
+
+
+class AdminLines(unittest.TestCase):
+    def test_a_call_is_a_line_or_what_came_before_the_close_and_nothing_else(self) -> None:
+        from gevent import socket as gsocket
+
+        from stackrouter.net.admin import LONGEST, _read_line
+
+        cases = [(b"status\n", False, "status"), (b"status", True, "status"), (b"sta", False, None),
+                 (b"x" * (LONGEST + 1) + b"\n", False, None), (b"st\xffus\n", False, None)]  # fmt: skip
+        for sent, close, word in cases:
+            ours, theirs = gsocket.socketpair()
+            with ours, theirs:
+                theirs.sendall(sent)
+                if close:
+                    theirs.shutdown(gsocket.SHUT_WR)
+                self.assertEqual(_read_line(ours), word, sent[:12])
