Drain by PING: standby and active on the operators' door

Change: stackrouter/ops/drain.py decides, without I/O, what PING says and when a client connection closes (nothing owed, nothing readable; a connection that has not asked gets 0.1 s). The listening socket stays open: the front still sends connections for 0.2 s.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
@@ -27,6 +28,7 @@
 from stackrouter.net.discovery import Discovery, Listing
 from stackrouter.net.listener import Listener, Session
 from stackrouter.net.pool import Pool
+from stackrouter.ops.drain import Drain
 
 if TYPE_CHECKING:
     from stackrouter.edge.wiring import Extras
@@ -59,14 +61,17 @@
         self.engine.listed(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
-        names = Names(config.classes, config.plans, config.settings, config.shards)
+        self.drain = Drain()  # standby and active on the operators' door; PING tells the front
+        names = Names(config.classes, config.plans, config.settings, config.shards, drain=self.drain)
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
         self.listeners = [
-            Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY, config.listen_fd)
+            Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY, config.listen_fd, self.drain)
         ]
         if sftp is not None:
             session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
-            self.listeners.append(Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b""))
+            self.listeners.append(
+                Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b"", drain=self.drain)
+            )
         self._limit(config)
         self._terminated = Event()
         self.admin = Admin(config.admin, self.answer) if config.admin else None
@@ -97,9 +102,22 @@
         self._terminated.set()
 
     def answer(self, call: str) -> str:
-        """The operators' door: `status` says whether this process serves; draining by it is not built yet."""
+        """The operators' door: `status` says whether this process serves; `standby` empties the gateway
+        (PING says no, connections close once nothing is owed on them); `active` ends the drain."""
+        now = time.monotonic()
         if call == "status":
-            return "FAILURE stopping" if self._terminated.is_set() else "SUCCESS serving"
+            return "FAILURE stopping" if self._terminated.is_set() else f"SUCCESS {self.drain.status(now)}"
+        if call == "standby":
+            began = self.drain.standby(now)
+            self.counters.add("drains.begun" if began else "drains.again")
+            logger.info("standby: PING says no, client connections close once nothing is owed on them")
+            for listener in self.listeners:
+                listener.close_drained()
+            return f"SUCCESS {self.drain.status(now)}"
+        if call == "active":
+            self.counters.add("drains.ended" if self.drain.active() else "drains.none")
+            logger.info("active: PING says yes")
+            return "SUCCESS serving"
         return f"FAILURE {call[:40]!r}: not a call of this gateway"
 
     def print_counters(self) -> None:
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -14,6 +14,7 @@
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
 from stackrouter.net.listener import MalformedError, Patience
+from stackrouter.ops.drain import Drain
 
 WIRE = "platform"
 PATIENCE = Patience(
@@ -22,18 +23,21 @@
 MOST_PIPELINED = 32  # commands of one connection that may wait for their answers
 READ, WRITE = b"BLK.READ", b"BLK.WRITE"
 BUSY = resp.error("BUSY")
+DRAINING = resp.error("ERR draining")  # PING's no: the front sends no new connection 0.2 s later
 LONGEST_WAIT_MS = 3_600_000
 
 
 @dataclass(frozen=True, slots=True)
 class Names:
-    """The settings' names of classes and plans, by index, the bounds of requests, the open ids."""
+    """The settings' names of classes and plans, by index, the bounds of requests, the open ids, and the
+    drain that PING tells the front of."""
 
     classes: Mapping[str, int]
     plans: Mapping[str, int]
     settings: Settings
     shards: int  # 0: not stated
     open: set[bytes] = field(default_factory=set)
+    drain: Drain = field(default_factory=Drain)
 
 
 PIECE = re.compile(rb"[0-9a-fA-F]{16}")  # of data, and volumes
@@ -163,6 +167,8 @@
                 self._names.open.add(slot.id)
                 self._engine.submit(request)
             self._slots.append(slot)
+        elif name == b"PING" and not self._names.drain.serving:
+            self._slots.append(_Slot(DRAINING))
         elif name == b"PING" and len(parts) <= 2:
             self._slots.append(_Slot(resp.bulk(parts[1]) if len(parts) == 2 else b"+PONG\r\n"))
         elif name in (b"CLIENT", b"SELECT"):
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -22,6 +22,7 @@
 from stackrouter.core.counters import Counters
 from stackrouter.core.model import Inbox
 from stackrouter.net.ring import Ring
+from stackrouter.ops.drain import Drain
 
 log = logging.getLogger(__name__)
 
@@ -118,6 +119,15 @@
         young = not self._asked and now - self.active_at <= YOUNG_S
         return self.answered() and not young and not self._readable()
 
+    def drained(self, now: float) -> bool:
+        """Closed now for a drain: nothing is owed on it and nothing is on its way (see ops.drain)."""
+        drain = self.listener.drain
+        if drain.since is None or self.ending:
+            return False
+        owed = not self.answered()
+        return drain.closes(now, owed=owed, readable=not owed and (len(self.inbox) > 0 or self._readable()),
+                            asked=self._asked, active_at=self.active_at)  # fmt: skip
+
     def _readable(self) -> bool:
         poll = select.poll()
         poll.register(self.sock.fileno(), select.POLLIN)
@@ -199,6 +209,9 @@
                 continue
             if self.listener.stopping and not self.ending and self.idle():
                 return
+            if self.drained(time.monotonic()):  # the end follows the last answer at once
+                self.listener.counters.add("clients.drained")
+                return
             self._wake.wait()
 
     def wake(self) -> None:
@@ -214,7 +227,7 @@
 class Listener:
     def __init__(self, address: tuple[str, int], most: int, counters: Counters,
                  session: Callable[[Callable[[], None]], Session], patience: Patience,
-                 busy: bytes, inherited: int | None = None) -> None:  # fmt: skip
+                 busy: bytes, inherited: int | None = None, drain: Drain | None = None) -> None:  # fmt: skip
         """`inherited`: a listening socket's descriptor, used instead of binding `address`; else OSError.
 
         At an upgrade the platform holds the clients' socket and both processes share it: binding the address
@@ -225,6 +238,7 @@
         self.connections: dict[Connection, None] = {}  # the longest inactive first
         self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
+        self.drain = drain or Drain()
         if inherited is not None:
             self._sock = socket.socket(fileno=inherited)
         else:
@@ -249,6 +263,13 @@
         for connection in list(self.connections):
             connection.wake()
 
+    def close_drained(self) -> None:
+        """Close what a drain lets go now: at standby, and on each sweep while it lasts."""
+        now = time.monotonic()
+        for connection in [c for c in self.connections if c.drained(now)]:
+            self.counters.add("clients.drained")
+            connection.close()
+
     def idle(self) -> bool:
         """All that was taken is answered; half a request does not count as taken."""
         return all(connection.answered() for connection in self.connections)
@@ -328,3 +349,5 @@
             for connection in [c for c in self.connections if c.stalled(now)]:
                 self.counters.add("clients.stalled")
                 connection.close()
+            if self.drain.since is not None:
+                self.close_drained()
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -4,7 +4,8 @@
 `gateway`. DOES: `>` sends, `<` must receive exactly this, `close`, `eof` (the other side has ended it),
 `next` (a node takes its next connection), `refuse` (a node listens no more), `none` (nothing has come to it),
 `is STATE` (discovery says so and is heard), `counts TEXT`, `logs TEXT`, `term`, `exit CODE`,
-`reload` (discovery moves, the file says so, SIGHUP; returns once the gateway asks there), `reload bad`.
+`reload` (discovery moves, the file says so, SIGHUP; returns once the gateway asks there), `reload bad`,
+`door CALL` (a line to the operators' door, whose answer must begin with SUCCESS).
 The first line, a comment, may set `sockets=N` and `discovery=silent`.
 
 WHAT: `resp WORDS` an array of bulk strings; `pkt TOKENS` a length-prefixed packet; else tokens. A token is
@@ -183,7 +184,7 @@
         self.head = dict(pair.split("=") for pair in first.split() if "=" in pair)
         self.discovery = Discovery(entries, silent="discovery" in self.head)
         self.old: list[Discovery] = []
-        self.listen, self.sftp = free_address(), free_address()
+        self.listen, self.sftp, self.door = free_address(), free_address(), free_address()
 
     def __enter__(self) -> Player:
         self.folder = tempfile.TemporaryDirectory()
@@ -201,6 +202,7 @@
         (folder / "edge.txtpb").write_text(EDGE.format(listen=self.sftp, trace=self.trace))
         environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
         environ["GW_CONFIG"] = str(folder / "config.json")
+        environ["GW_ADMIN"] = self.door
         if not self.watched:
             environ["GW_EDGE"] = str(folder / "edge.txtpb")
         module = "tests.refused" if self.watched else "stackrouter"
@@ -249,6 +251,12 @@
             self.program.send_signal(signal.SIGTERM)
         elif does == "reload":
             self.reload(what)
+        elif does == "door":
+            host, port = self.door.split(":")
+            with socket.create_connection((host, int(port)), PATIENCE_S) as door:
+                door.sendall(what.encode() + b"\n")
+                answer = door.makefile("rb").readline()
+            assert answer.startswith(b"SUCCESS"), answer
         elif does in ("counts", "logs"):
             if does == "counts":
                 self.program.send_signal(signal.SIGUSR1)
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,53 @@
+"""The drain's decisions, without sockets: what PING says and which client connection may close when."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stackrouter.ops.drain import YOUNG_S, Drain
+
+times = st.floats(min_value=0.0, max_value=1e6, allow_nan=False)
+
+
+class DrainTest(unittest.TestCase):
+    def test_ping_says_no_from_standby_to_active(self) -> None:
+        drain = Drain()
+        self.assertTrue(drain.serving)
+        self.assertTrue(drain.standby(10.0))
+        self.assertFalse(drain.standby(11.0))  # a second call keeps the first one's time
+        self.assertEqual((drain.serving, drain.since, drain.drains), (False, 10.0, 1))
+        self.assertTrue(drain.active())
+        self.assertFalse(drain.active())
+        self.assertTrue(drain.serving)
+
+    def test_a_new_connection_is_given_time_for_its_first_request(self) -> None:
+        drain = Drain()
+        drain.standby(10.0)
+        self.assertFalse(drain.closes(10.1, owed=False, readable=False, asked=False, active_at=10.05))
+        self.assertTrue(
+            drain.closes(10.06 + YOUNG_S, owed=False, readable=False, asked=False, active_at=10.05)
+        )
+        # One that was idle long before the standby still gets its time from the standby on.
+        self.assertFalse(drain.closes(10.01, owed=False, readable=False, asked=False, active_at=1.0))
+
+    def test_one_that_asked_closes_behind_its_last_answer(self) -> None:
+        drain = Drain()
+        drain.standby(10.0)
+        self.assertTrue(drain.closes(10.0, owed=False, readable=False, asked=True, active_at=10.0))
+
+    @given(times, times, st.booleans(), st.booleans(), st.booleans(), times)
+    def test_nothing_owed_or_on_its_way_is_cut(self, since: float, now: float, owed: bool, readable: bool,
+                                               asked: bool, active_at: float) -> None:  # fmt: skip
+        drain = Drain()
+        self.assertFalse(drain.closes(now, owed=owed, readable=readable, asked=asked, active_at=active_at))
+        drain.standby(since)
+        closes = drain.closes(now, owed=owed, readable=readable, asked=asked, active_at=active_at)
+        if owed or readable:
+            self.assertFalse(closes)
+        elif asked:
+            self.assertTrue(closes)
+        drain.active()
+        self.assertFalse(drain.closes(now, owed=owed, readable=readable, asked=asked, active_at=active_at))
