Take new settings at SIGHUP: classes added, dropped and changed; broken files refused

Broken files were refused but the line said 'TypeError: must be real number, not str', with no file, key or line. Change: stackrouter/ops/retune.py (no I/O): check() refuses a file whose deadline or attempts are not over 0, naming key and line; merge() keeps one table of classes that only grows, so an open request's index keeps its old rules, and gives each new name its index.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -15,7 +15,7 @@
 import gevent
 from gevent.event import Event
 
-from rackseam.interface import ListKind
+from rackseam.interface import ListKind, Settings
 from stackrouter import log
 from stackrouter.config import Config, ConfigError, load, reload
 from stackrouter.core.counters import Counters
@@ -29,6 +29,7 @@
 from stackrouter.net.listener import Listener, Session
 from stackrouter.net.pool import Pool
 from stackrouter.ops.drain import Drain
+from stackrouter.ops.retune import BIND_S, RetuneError, merge
 
 if TYPE_CHECKING:
     from stackrouter.edge.wiring import Extras
@@ -62,7 +63,9 @@
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
         self.drain = Drain()  # standby and active on the operators' door; PING tells the front
-        names = Names(config.classes, config.plans, config.settings, config.shards, drain=self.drain)
+        self.names = names = Names(
+            config.classes, config.plans, config.settings, config.shards, drain=self.drain
+        )
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
         self.listeners = [
             Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY, config.listen_fd, self.drain)
@@ -76,6 +79,7 @@
         self._terminated = Event()
         self.admin = Admin(config.admin, self.answer) if config.admin else None
         self.extras: Extras | None = None  # what the operator's file turns on
+        self._binding: gevent.Greenlet[..., None] | None = None  # classes rebound after a SIGHUP
 
     def _limit(self, config: Config) -> None:
         self.engine.max_open = config.max_open
@@ -93,10 +97,36 @@
             self.counters.add("reloads.failed")
             logger.warning("keeping the old configuration: %s", error)
             return
+        try:
+            settings, bound = merge(self.engine.settings.classes, config.settings, config.classes)
+        except RetuneError as error:
+            self.counters.add("reloads.failed")
+            logger.warning("keeping the old configuration: GW_CONFIG: %s", error)
+            return
         self.counters.add("reloads.done")
         self._limit(config)
         self.discovery.move(config.discovery)
-        logger.info("configuration read again: discovery at %s:%d", *config.discovery)
+        self._retune(settings, bound)
+        logger.info(
+            "configuration read again: discovery at %s:%d, classes %s", *config.discovery, sorted(bound)
+        )
+
+    def _retune(self, settings: Settings, bound: dict[str, int]) -> None:
+        """Open requests keep their class's index; names of new classes are known at once, and every name
+        takes its new rules BIND_S later, when clients begin to use them."""
+        self.engine.retune(settings)
+        self.names.settings = settings
+        self.names.classes.update(
+            {name: index for name, index in bound.items() if name not in self.names.classes}
+        )
+        if self._binding is not None:
+            self._binding.kill(block=False)
+        self._binding = gevent.spawn_later(BIND_S, self._bind, bound)
+
+    def _bind(self, bound: dict[str, int]) -> None:
+        self._binding = None
+        self.names.classes.clear()
+        self.names.classes.update(bound)
 
     def terminate(self) -> None:
         self._terminated.set()
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -10,6 +10,7 @@
 
 from rackseam.benchlink import settings_of
 from rackseam.interface import Settings
+from stackrouter.ops.retune import check
 
 SPARE_SOCKETS = 32  # descriptors kept back: the log, the event loop, listeners, discovery
 CLIENT_PART = 0.6  # of the rest go to clients, the others to nodes
@@ -62,24 +63,30 @@
     return int(text)
 
 
-def load(environ: Mapping[str, str] = os.environ) -> Config:
+def load(environ: Mapping[str, str] = os.environ, strict: bool = False) -> Config:
+    """`strict`: also what a change of settings may not have (ops.retune.check): a file read again."""
     path = environ.get("GW_CONFIG")
     if not path:
         raise ConfigError("GW_CONFIG is not set")
     try:
         with open(path, encoding="utf-8") as file:
-            raw = json.load(file)
+            text = file.read()
+        raw = json.loads(text)
+        if strict:
+            check(raw, text)
     except (OSError, ValueError) as error:
-        raise ConfigError(f"GW_CONFIG: {error}") from None
+        raise ConfigError(f"GW_CONFIG: {path}: {error}") from None
     try:
         return _config(raw, environ)
-    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
-        raise ConfigError(f"GW_CONFIG: {type(error).__name__}: {error}") from None
+    except KeyError as error:
+        raise ConfigError(f"GW_CONFIG: {path}: key {error.args[0]} is missing") from None
+    except (TypeError, ValueError, AttributeError, IndexError) as error:
+        raise ConfigError(f"GW_CONFIG: {path}: {type(error).__name__}: {error}") from None
 
 
 def reload(environ: Mapping[str, str] = os.environ) -> Config:
     """The file as it is now. What it says of discovery is newer than the GW_DISCOVERY of the start."""
-    return load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"})
+    return load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"}, strict=True)
 
 
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -82,6 +82,13 @@
     def submit(self, request: Request) -> None:
         self._queue.put((self._submit, (request,)))
 
+    def retune(self, settings: Settings) -> None:
+        """New settings whose classes keep every index of the old ones (ops.retune.merge)."""
+        self._queue.put((self._retune, (settings,)))
+
+    def _retune(self, settings: Settings) -> None:
+        self.settings = self.controller.s = settings
+
     def withdraw(self, request: Request) -> None:
         self._queue.put((self._withdraw, (request,)))
 
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -27,12 +27,12 @@
 LONGEST_WAIT_MS = 3_600_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Names:
     """The settings' names of classes and plans, by index, the bounds of requests, the open ids, and the
-    drain that PING tells the front of."""
+    drain that PING tells the front of. `classes` and `settings` change at SIGHUP (see ops.retune)."""
 
-    classes: Mapping[str, int]
+    classes: dict[str, int]  # changed in place at SIGHUP
     plans: Mapping[str, int]
     settings: Settings
     shards: int  # 0: not stated
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,50 @@
+"""New settings at SIGHUP, without sockets: which files are refused, naming key and line; how classes join."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from dataclasses import replace
+
+from rackseam.interface import Effect, Plan, RequestClass, Settings
+from stackrouter.ops.retune import RetuneError, check, merge
+
+PROFILES = [{"Name": "read", "HardLimitUs": 400000}, {"Name": "write", "HardLimitUs": 900000}]
+GOOD = {"settings": {"Caps": {"MaxAttempts": 2}, "Profiles": PROFILES}}
+
+
+def text_of(raw: object) -> str:
+    return json.dumps(raw, indent=1)
+
+
+class RetuneTest(unittest.TestCase):
+    def test_a_whole_file_is_taken(self) -> None:
+        check(GOOD, text_of(GOOD))
+
+    def test_broken_files_name_the_key_and_its_line(self) -> None:
+        zero = json.loads(json.dumps(GOOD))
+        zero["settings"]["Profiles"][1]["HardLimitUs"] = 0
+        no_attempts = json.loads(json.dumps(GOOD))
+        no_attempts["settings"]["Caps"]["MaxAttempts"] = 0
+        cases = [
+            ({}, "key settings is missing"),
+            ({"settings": {"Profiles": []}}, "key Profiles is missing or empty"),
+            (zero, "line 13: Profiles[1].HardLimitUs must be a number over 0, not 0"),
+            (no_attempts, "line 4: Caps.MaxAttempts must be a number over 0, not 0"),
+        ]
+        for raw, said in cases:
+            with self.subTest(said), self.assertRaises(RetuneError) as caught:
+                check(raw, text_of(raw))
+            self.assertIn(said, str(caught.exception))
+
+    def test_classes_only_grow_and_names_move_to_their_new_rules(self) -> None:
+        read, write = RequestClass(400_000, 400_000), RequestClass(900_000, 900_000, writes=True)
+        old = Settings(classes=(read, write), plans=(Plan(),), max_attempts=3)
+        keyed = replace(write, effect=Effect.KEYED)
+        new = Settings(classes=(keyed, read), plans=(Plan(),), max_attempts=1)
+        settings, bound = merge(old.classes, new, {"write": 0, "read": 1})
+        self.assertEqual(settings.classes, (read, write, keyed))  # an open write keeps index 1 and its rules
+        self.assertEqual(bound, {"write": 2, "read": 0})
+        self.assertEqual(settings.max_attempts, 1)
+        again, _ = merge(settings.classes, new, {"write": 0, "read": 1})
+        self.assertEqual(again.classes, settings.classes)  # the same file again adds nothing
