--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import re
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -25,6 +26,9 @@
 BUSY = resp.error("BUSY")
 DRAINING = resp.error("ERR draining")  # PING's no: the front sends no new connection 0.2 s later
 LONGEST_WAIT_MS = 3_600_000
+LOGGED_BAD = 8  # bad commands told in the log, the first ones; the counter counts them all
+
+log = logging.getLogger(__name__)
 
 
 @dataclass(slots=True)
@@ -161,6 +165,8 @@
                     raise BadCommandError("a request with this id is open")
             except BadCommandError as error:
                 self._counters.add("clients.bad_command")
+                if self._counters["clients.bad_command"] <= LOGGED_BAD:  # a bad client cannot fill the log
+                    log.warning("bad command %r: %s", parts[3][:120] if len(parts) > 3 else b"", error)
                 slot.parts = deque((resp.error(f"ERR {error}"),))
             else:
                 slot.request, slot.id = request, parts[2]
