Believe ClassWrites only where it has a flag for each class of a reloaded file

A probe (not kept) logged the files: every one says FamilyInfo.ClassWrites [false, true] while Profiles became [match-read, turn-write, match-read-r2], then [turn-write, match-read-r2, turn-write-r2]. Ruled out: the binding time (errors came after the 1.2 s bind, not before), the merge of equal classes (tests/test_retune.py). Change: config.writes_stated says whether ClassWrites covers Profiles one to one; where not, ops/retune.merge gives a class the flag of the old class of its name, and a new name none: its index is in Names.unchecked and the front takes either command for it.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -98,7 +98,8 @@
             logger.warning("keeping the old configuration: %s", error)
             return
         try:
-            settings, bound = merge(self.engine.settings.classes, config.settings, config.classes)
+            settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
+                                             self.names.classes, config.writes_stated)  # fmt: skip
         except RetuneError as error:
             self.counters.add("reloads.failed")
             logger.warning("keeping the old configuration: GW_CONFIG: %s", error)
@@ -106,16 +107,17 @@
         self.counters.add("reloads.done")
         self._limit(config)
         self.discovery.move(config.discovery)
-        self._retune(settings, bound)
+        self._retune(settings, bound, unknown)
         logger.info(
             "configuration read again: discovery at %s:%d, classes %s", *config.discovery, sorted(bound)
         )
 
-    def _retune(self, settings: Settings, bound: dict[str, int]) -> None:
+    def _retune(self, settings: Settings, bound: dict[str, int], unknown: set[int]) -> None:
         """Open requests keep their class's index; names of new classes are known at once, and every name
         takes its new rules BIND_S later, when clients begin to use them."""
         self.engine.retune(settings)
         self.names.settings = settings
+        self.names.unchecked |= unknown
         self.names.classes.update(
             {name: index for name, index in bound.items() if name not in self.names.classes}
         )
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -45,6 +45,7 @@
     node_sockets: int
     listen_fd: int | None = None  # the clients' listening socket, held by the platform during an upgrade
     admin: tuple[str, int] | None = None  # the operators' door
+    writes_stated: bool = True  # FamilyInfo.ClassWrites has a flag for each class of Profiles
 
 
 def address_of(text: Any, name: str) -> tuple[str, int]:
@@ -111,6 +112,7 @@
         zones=list(conf.get("Zones") or []),
         kinds=list(conf.get("Kinds") or []),
         shards=int((conf.get("FamilyInfo") or {}).get("Shards") or 0),
+        writes_stated=len((conf.get("FamilyInfo") or {}).get("ClassWrites") or []) == len(conf["Profiles"]),
         limits=limits,
         max_open=min(int(caps.get("MaxOpen") or 1 << 30), int(memory * OPEN_PART) // OPEN_BYTES),
         answer_bytes=int(max(0, memory - PROGRAM_BYTES) * ANSWER_PART),
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -42,6 +42,7 @@
     shards: int  # 0: not stated
     open: set[bytes] = field(default_factory=set)
     drain: Drain = field(default_factory=Drain)
+    unchecked: set[int] = field(default_factory=set)  # classes whose write flag no file stated
 
 
 PIECE = re.compile(rb"[0-9a-fA-F]{16}")  # of data, and volumes
@@ -78,7 +79,8 @@
     if request_class is None or plan is None:
         raise BadCommandError("unknown class or plan")
     settings, cls = names.settings, names.settings.classes[request_class]
-    if any(c.writes for c in settings.classes) and cls.writes != (name == WRITE):
+    checked = request_class not in names.unchecked and any(c.writes for c in settings.classes)
+    if checked and cls.writes != (name == WRITE):
         raise BadCommandError("the class is not for this command")
     key = fields.get("k", "")
     if not PIECE.fullmatch(piece) or not PIECE.fullmatch(volume.encode()) or not TOKEN.fullmatch(request_id):
--- a/stackrouter/ops/retune.py
+++ b/stackrouter/ops/retune.py
@@ -43,23 +43,31 @@
         _positive(caps["MaxAttempts"], "Caps.MaxAttempts", _line(text, "MaxAttempts"))
 
 
-def merge(
-    table: tuple[RequestClass, ...], new: Settings, names: Mapping[str, int]
-) -> tuple[Settings, dict[str, int]]:
-    """The new settings over the grown table of classes, and each new name's index in it.
-
-    `names`: the new file's names by their index in `new.classes`. A class equal to one in the table takes
-    that index; another is added at the end. Raises RetuneError past MOST_CLASSES.
+def merge(table: tuple[RequestClass, ...], new: Settings, names: Mapping[str, int], old: Mapping[str, int],
+          writes_stated: bool) -> tuple[Settings, dict[str, int], set[int]]:  # fmt: skip
+    """The new settings over the grown table of classes, each new name's index in it, and the indices whose
+    write flag nobody stated.
+
+    `names`: the new file's names by their index in `new.classes`; `old`: the names in force, by index in
+    `table`. `writes_stated`: FamilyInfo.ClassWrites has one flag for each class. Where it has not (a file
+    whose classes changed while the flags stayed, as seen on the operators' days), a class keeps the flag of
+    the old class of its name, and one with a new name is unknown: the front then takes either command for
+    it. A class equal to one in the table takes that index; another is added at the end. Raises RetuneError
+    past MOST_CLASSES.
     """
-    classes, bound = list(table), {}
+    classes, bound, unknown = list(table), {}, set()
     for name, index in names.items():
         cls = new.classes[index]
+        if not writes_stated:
+            cls = replace(cls, writes=table[old[name]].writes if name in old else False)
         if cls not in classes:
             classes.append(cls)
         bound[name] = classes.index(cls)
+        if not writes_stated and name not in old:
+            unknown.add(bound[name])
     if len(classes) > MOST_CLASSES:
         raise RetuneError(f"more than {MOST_CLASSES} classes over the changes since the start")
-    return replace(new, classes=tuple(classes)), bound
+    return replace(new, classes=tuple(classes)), bound, unknown
 
 
 def _positive(value: Any, key: str, line: int) -> None:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -42,9 +42,23 @@
         old = Settings(classes=(read, write), plans=(Plan(),), max_attempts=3)
         keyed = replace(write, effect=Effect.KEYED)
         new = Settings(classes=(keyed, read), plans=(Plan(),), max_attempts=1)
-        settings, bound = merge(old.classes, new, {"write": 0, "read": 1})
+        settings, bound, unknown = merge(
+            old.classes, new, {"write": 0, "read": 1}, {"read": 0, "write": 1}, True
+        )
         self.assertEqual(settings.classes, (read, write, keyed))  # an open write keeps index 1 and its rules
         self.assertEqual(bound, {"write": 2, "read": 0})
-        self.assertEqual(settings.max_attempts, 1)
-        again, _ = merge(settings.classes, new, {"write": 0, "read": 1})
+        self.assertEqual((settings.max_attempts, unknown), (1, set()))
+        again, _, _ = merge(settings.classes, new, {"write": 0, "read": 1}, bound, True)
         self.assertEqual(again.classes, settings.classes)  # the same file again adds nothing
+
+    def test_write_flags_that_stayed_while_the_classes_moved_are_not_believed(self) -> None:
+        # Seen on the operators' days: ClassWrites [false, true] beside three classes in another order.
+        read, write = RequestClass(400_000, 400_000), RequestClass(900_000, 900_000, writes=True)
+        moved = Settings(
+            classes=(replace(write, writes=False), replace(read, writes=True), read), plans=(Plan(),)
+        )
+        names = {"write": 0, "read": 1, "write-2": 2}
+        settings, bound, unknown = merge((read, write), moved, names, {"read": 0, "write": 1}, False)
+        self.assertTrue(settings.classes[bound["write"]].writes)
+        self.assertFalse(settings.classes[bound["read"]].writes)
+        self.assertEqual(unknown, {bound["write-2"]})  # a new name: the front takes either command for it
