--- a/stackrouter/ops/drain.py
+++ b/stackrouter/ops/drain.py
@@ -15,10 +15,9 @@
 
 @dataclass(slots=True)
 class Drain:
-    """`since`: when the running drain began, None while serving; `drains`: how many began (for the door)."""
+    """`since`: when the running drain began, None while serving."""
 
     since: float | None = None
-    drains: int = 0
 
     @property
     def serving(self) -> bool:
@@ -29,7 +28,7 @@
         """Begin draining; a second standby keeps the first one's time. Returns whether this one began it."""
         if self.since is not None:
             return False
-        self.since, self.drains = now, self.drains + 1
+        self.since = now
         return True
 
     def active(self) -> bool:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -18,7 +18,7 @@
         self.assertTrue(drain.serving)
         self.assertTrue(drain.standby(10.0))
         self.assertFalse(drain.standby(11.0))  # a second call keeps the first one's time
-        self.assertEqual((drain.serving, drain.since, drain.drains), (False, 10.0, 1))
+        self.assertEqual((drain.serving, drain.since), (False, 10.0))
         self.assertTrue(drain.active())
         self.assertFalse(drain.active())
         self.assertTrue(drain.serving)
