Coordinate gateways by leased duties with fencing tokens; a fault rig of processes

Change: stackrouter/coord/ (pure: lease, ledger, fence, watch, port; adapters on PySyncObj and on etcd v3's JSON API through etcd3gw, tested on a stand-in), stackrouter/fleet/ (pure: schedule, check; proxy, rig), `fleet run`, part `coordination` of the operator's file. One member asks discovery for all; each asks for itself when it is unheard of. Seen on the rig: no lease for 8 s under one leader. Status of the leader: next_node_idx of a follower between 49 and 52 while log_len went 197 to 263, match_idx 0. Cause: sends with each command (appendEntriesUseBatch=False) undo one another's backing off in the library. Ruled out: no majority (has_quorum True), failing members (no exception logged), keepers that do not ask (log grows by their asks). Change: batches. Also seen: two starts of one member killed twice at once (rig); mended. A watcher whose publish was refused as a gap never sent the whole list, since `refetch` is undone by the watch under way; it now breaks that off. Off in `run`: the lean start imports none of it (tested).

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -160,6 +160,8 @@
     def serve(self) -> None:
         """Ready from here on; returns once a stop has been asked for and all taken requests are answered."""
         self._terminated.wait()
+        if self.extras is not None:
+            self.extras.leave()
         gevent.sleep(SERVE_ON_S)
         for listener in self.listeners:
             listener.stop()
@@ -194,6 +196,7 @@
         gateway = Gateway(config, extras.sftp if extras else None)
         if extras:
             extras.attach(gateway.engine, gateway.pool)
+            extras.coordinate(gateway.discovery, gateway.counters)
             gateway.extras = extras
     except (ConfigError, OSError) as error:
         print(f"stackrouter: {error}", file=sys.stderr)
--- a/stackrouter/cli/checks.py
+++ b/stackrouter/cli/checks.py
@@ -51,7 +51,7 @@
             print_json({"ok": False, "error": str(error)})
             raise typer.Exit(2) from None
         raise InputError(error) from None
-    on = [part for part in ("sftp", "accounts", "trace") if getattr(edge, part).enabled]
+    on = [part for part in ("sftp", "accounts", "trace", "coordination") if getattr(edge, part).enabled]
     if as_json:
         print_json({"ok": True, "on": on, "edge": dataclasses.asdict(edge)})
         return
--- /dev/null
+++ b/stackrouter/coord/etcd.py
@@ -0,0 +1,237 @@
+"""The second adapter: a store that is there, by etcd v3's published lease and transaction API (its JSON
+gateway).
+
+What the API gives, and how it is used (etcd's API reference, v3):
+
+- A duty is a key that is bound to a lease of the store; the store deletes it when the lease is not kept
+  alive. Its `create_revision` grows with every revision of the store: it is the fencing token.
+- Each change is one transaction that compares what it builds on: a duty is taken only where its key is absent
+  (create_revision 0), a listing is put only under the token that the duty's key still has.
+- The state is read again every POLL_S; a call that fails goes to the next address.
+
+The calls block, so they are made in a thread of their own, through the client library.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import queue
+import threading
+import time
+from base64 import b64encode
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from etcd3gw.client import Etcd3Client
+from etcd3gw.exceptions import Etcd3Exception
+from etcd3gw.lease import Lease as StoreLease
+
+from stackrouter.coord.ledger import Listings
+from stackrouter.coord.port import (
+    Acquire,
+    Answered,
+    Append,
+    Command,
+    EntrySeen,
+    Event,
+    Lease,
+    LeaseSeen,
+    ListingSeen,
+    MemberView,
+    Publish,
+    Release,
+    Renew,
+)
+
+log = logging.getLogger(__name__)
+
+POLL_S = 0.2
+CALL_S = 1.0  # longest that one call may take
+MOST_QUEUED = 1000
+MOST_EVENTS = 10_000
+TRIES = 3  # of an entry of the log, where others append at the same time
+
+
+class Etcd:
+    """The port on etcd. A ttl is whole seconds there: a part of one counts as one more."""
+
+    store_expires = True
+
+    def __init__(self, addresses: Sequence[tuple[str, int]], prefix: str, ttl_us: int) -> None:
+        self._clients = deque(Etcd3Client(host, port, timeout=CALL_S) for host, port in addresses)
+        self._prefix, self._ttl_s = prefix, -(-ttl_us // 1_000_000)
+        self._commands: queue.Queue[tuple[int, Command]] = queue.Queue(MOST_QUEUED)
+        self._events: deque[Event] = deque(maxlen=MOST_EVENTS)
+        self._held: dict[str, StoreLease] = {}
+        self._leases: dict[str, Lease] = {}
+        self._listings = Listings()
+        self._listing_revision = 0
+        self._entry = 0
+        self._asked = 0
+        self._reachable = False
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="coord-etcd", daemon=True)
+        self._wake: Callable[[], None] = lambda: None
+
+    def start(self, wake: Callable[[], None]) -> None:
+        self._wake = wake
+        self._thread.start()
+
+    def ask(self, command: Command) -> int:
+        self._asked += 1
+        try:
+            self._commands.put_nowait((self._asked, command))
+        except queue.Full:
+            self._hear(Answered(self._asked, False, None, "queue full"))
+        return self._asked
+
+    def events(self) -> list[Event]:
+        return [self._events.popleft() for _ in range(len(self._events))]
+
+    def listing(self) -> tuple[int, dict[str, Any]] | None:
+        whole = self._listings.whole()
+        return None if whole is None else (self._listings.token, whole)
+
+    def members(self) -> list[MemberView]:
+        return [MemberView(c.host, f"{c.host}:{c.port}", self._reachable and i == 0)
+                for i, c in enumerate(self._clients)]  # fmt: skip
+
+    def close(self) -> None:
+        self._closing.set()
+        if self._thread.ident is not None:
+            self._thread.join(timeout=CALL_S)
+
+    def _hear(self, event: Event) -> None:
+        self._events.append(event)
+        self._wake()
+
+    def _run(self) -> None:
+        polled_at = 0.0
+        while not self._closing.is_set() or not self._commands.empty():
+            number = None
+            try:
+                if time.monotonic() - polled_at >= POLL_S:
+                    polled_at = time.monotonic()
+                    self._poll()
+                number, command = self._commands.get(timeout=POLL_S)
+                why = self._carry_out(command)
+                lease = self._leases.get(getattr(command, "duty", ""))
+                self._hear(Answered(number, not why, lease, why))
+            except queue.Empty:
+                continue
+            except (Etcd3Exception, ValueError, KeyError, OSError) as error:
+                self._reachable = False
+                self._clients.rotate(-1)
+                if number is not None:
+                    self._hear(Answered(number, False, None, f"store: {error}"))
+                else:
+                    log.warning("coordination: %s", error)
+                    self._closing.wait(POLL_S)
+
+    def _carry_out(self, command: Command) -> str:
+        """Why it was refused; empty: it took hold."""
+        match command:
+            case Acquire():
+                return self._acquire(command)
+            case Renew():
+                held = self._held.get(command.duty)
+                if (
+                    held is None
+                    or int(held.refresh()) <= 0
+                    or self._poll().get(command.duty) != command.token
+                ):
+                    self._held.pop(command.duty, None)
+                    return "token"
+                return ""
+            case Release():
+                key = self._key(f"leases/{command.duty}")
+                self._txn([_created(key, command.token)], [{"request_delete_range": {"key": key}}])
+                self._held.pop(command.duty, None)
+                self._poll()
+                return ""
+            case Publish():
+                return self._publish(command)
+            case Append():
+                return self._append(command)
+
+    def _acquire(self, command: Acquire) -> str:
+        key = self._key(f"leases/{command.duty}")
+        held = self._clients[0].lease(ttl=self._ttl_s)
+        put = {"request_put": {"key": key, "value": _b64(command.member), "lease": held.id}}
+        if not self._txn([_created(key, 0)], [put]):
+            return "held"
+        self._held[command.duty] = held
+        self._poll()
+        return ""
+
+    def _publish(self, command: Publish) -> str:
+        self._poll()
+        if why := self._listings.refusal(command):
+            return why
+        taken = Listings(self._listings.token, self._listings.index, dict(self._listings.items))
+        taken.take(command)
+        key, lease = self._key("listing"), self._key(f"leases/{command.duty}")
+        value = _b64(json.dumps({"token": taken.token, "listing": taken.whole()}))
+        on = [_created(lease, command.token), _modified(key, self._listing_revision)]
+        if self._txn(on, [{"request_put": {"key": key, "value": value}}]):
+            return ""
+        return "token" if self._poll().get(command.duty) != command.token else "gap"
+
+    def _append(self, command: Append) -> str:
+        for _ in range(TRIES):
+            self._poll()
+            key = self._key(f"log/{self._entry + 1:012d}")
+            value = _b64(json.dumps([command.kind, command.member, command.body]))
+            if self._txn([_created(key, 0)], [{"request_put": {"key": key, "value": value}}]):
+                return ""
+        return "busy"
+
+    def _txn(self, compare: list[dict[str, Any]], success: list[dict[str, Any]]) -> bool:
+        client = self._clients[0]
+        return bool(
+            client.transaction({"compare": compare, "success": success, "failure": []}).get("succeeded")
+        )
+
+    def _poll(self) -> dict[str, int]:
+        """Read the state, say what is new; the duties' tokens."""
+        leases: dict[str, Lease] = {}
+        for value, about in self._clients[0].get_prefix(self._prefix):
+            raw = about["key"]
+            name = (raw.decode() if isinstance(raw, bytes) else raw).removeprefix(self._prefix)
+            kind, _, rest = name.partition("/")
+            if kind == "leases":
+                leases[rest] = Lease(rest, value.decode(), int(about["create_revision"]))
+            elif kind == "listing" and int(about["mod_revision"]) != self._listing_revision:
+                self._listing_revision = int(about["mod_revision"])
+                told = json.loads(value)
+                listing = told["listing"]
+                items = {item["name"]: item for item in listing["endpoints"]}
+                self._listings = Listings(int(told["token"]), int(listing["index"]), items)
+                self._hear(ListingSeen(int(told["token"]), None, listing))
+            elif kind == "log" and int(rest) > self._entry:
+                self._entry = int(rest)
+                self._hear(EntrySeen(self._entry, *json.loads(value)))
+        for duty in self._leases.keys() - leases.keys():  # released, or not kept alive: free
+            leases[duty] = Lease(duty, token=self._leases[duty].token)
+        changed = [lease for duty, lease in leases.items() if self._leases.get(duty) != lease]
+        self._leases, self._reachable = leases, True
+        for lease in changed:
+            self._hear(LeaseSeen(lease))
+        return {duty: lease.token for duty, lease in leases.items() if lease.holder}
+
+    def _key(self, name: str) -> str:
+        return _b64(self._prefix + name)
+
+
+def _b64(text: str) -> str:
+    return b64encode(text.encode()).decode()
+
+
+def _created(key: str, revision: int) -> dict[str, Any]:
+    return {"key": key, "target": "CREATE", "result": "EQUAL", "create_revision": revision}
+
+
+def _modified(key: str, revision: int) -> dict[str, Any]:
+    return {"key": key, "target": "MOD", "result": "EQUAL", "mod_revision": revision}
--- /dev/null
+++ b/stackrouter/coord/join.py
@@ -0,0 +1,66 @@
+"""From the operator's file to a running member: which adapter, which times, which drill."""
+
+from __future__ import annotations
+
+import logging
+from functools import partial
+from pathlib import Path
+
+from stackrouter.config import ConfigError, address_of
+from stackrouter.coord.lease import Timing
+from stackrouter.coord.member import Member, boottime_us
+from stackrouter.coord.port import Coordination as Store
+from stackrouter.core.counters import Counters
+from stackrouter.edge.config import Coordination
+from stackrouter.net.discovery import Discovery
+
+log = logging.getLogger(__name__)
+
+RENEWALS = 4  # asked for within the time that a lease may be acted under: three may be lost
+
+
+def timing(conf: Coordination, position: int, members: int) -> Timing:
+    """`position` among the members: each asks for a free duty a little later than the one before."""
+    ttl_us, drift_us = conf.ttl_ms * 1000, conf.max_drift_ms * 1000
+    renew_us = (ttl_us - drift_us) // RENEWALS
+    stagger_us = position * min(20_000, ttl_us // 20 // max(1, members))
+    return Timing(ttl_us, drift_us, renew_us, min(renew_us, 1_000_000), stagger_us)
+
+
+def join(conf: Coordination, name: str, discovery: Discovery, counters: Counters) -> Member:
+    """ConfigError: this gateway is not among the peers, or the journal's folder cannot be written."""
+    name = conf.member or name
+    names = [peer.name for peer in conf.peer]
+    if conf.store == "raft" and name not in names:
+        raise ConfigError(f"coordination.member: must be one of the peers ({', '.join(names)}), not {name!r}")
+    position = names.index(name) if name in names else 0
+    rate = 1 + (conf.drill.clock_ppm / 1e6 if conf.drill else 0.0)
+    clock = partial(boottime_us, rate)
+    member = Member(name, store(conf, position), timing(conf, position, len(names)), conf.stale_ms * 1000,
+                    counters, clock=clock)  # fmt: skip
+    member.join(discovery)
+    member.start()
+    if conf.drill is not None:
+        from stackrouter.coord.drill import Drill
+
+        Drill(member, address_of(conf.drill.receiver, "coordination.drill.receiver"),
+              conf.drill.every_ms / 1000, conf.drill.work_ms / 1000).start()  # fmt: skip
+    log.info("coordination by %s as %s", conf.store, member.life)
+    return member
+
+
+def store(conf: Coordination, position: int) -> Store:
+    if conf.store == "etcd":
+        from stackrouter.coord.etcd import Etcd
+
+        return Etcd([address_of(a, "etcd") for a in conf.etcd], conf.prefix, conf.ttl_ms * 1000)
+    from stackrouter.coord.raft import Peer, Raft
+
+    peers = [Peer(peer.name, peer.address, peer.dial) for peer in conf.peer]
+    me = peers[position]
+    try:
+        return Raft(me, peers, conf.election_ms * 1000, Path(conf.folder))
+    except OSError as error:
+        raise ConfigError(f"coordination.folder: {conf.folder}: {error.strerror}") from None
+    except AssertionError:
+        raise ConfigError("coordination.election_ms: too short for the heartbeats within it") from None
--- /dev/null
+++ b/stackrouter/coord/ledger.py
@@ -0,0 +1,123 @@
+"""The fleet's state, as every member holds it: leases, the list of storage nodes, the log. No I/O, no clock.
+
+All members apply the same commands in the same order and so hold the same state. Nothing here depends on
+time: a lease ends in its holder's own clock, and who takes over has watched its mark stand still (see
+lease.py), so clocks that disagree on what time it is do no harm.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from stackrouter.coord.port import (
+    NOBODY,
+    Acquire,
+    Append,
+    Command,
+    EntrySeen,
+    Event,
+    Lease,
+    LeaseSeen,
+    ListingSeen,
+    Publish,
+    Release,
+    Renew,
+)
+
+MOST_DUTIES = 64  # a peer that makes up duties must not fill the memory
+MOST_ENTRIES = 1024  # of the log, the latest stay
+MOST_NODES = 20_000
+
+
+@dataclass(slots=True)
+class Listings:
+    """Discovery's list, whole, put together from what the watchers published."""
+
+    token: int = 0
+    index: int = -1
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def refusal(self, command: Publish) -> str:
+        """Why this may not be taken; empty: it may."""
+        if command.token < self.token:
+            return "token"
+        if command.base is not None and (self.index < 0 or command.base > self.index):
+            return "gap"  # changes in between are not known: the whole list has to come first
+        if command.base is not None and int(command.listing["index"]) < self.index:
+            return "older"  # a whole list always counts: discovery may have begun anew
+        count = len(command.listing["endpoints"]) + (len(self.items) if command.base is not None else 0)
+        return "size" if count > MOST_NODES else ""
+
+    def take(self, command: Publish) -> None:
+        if command.base is None:
+            self.items = {}
+        for item in command.listing["endpoints"]:
+            self.items[item["name"]] = item
+        gone = [name for name, item in self.items.items() if item["status"] == "removed"]
+        if command.base is None or len(gone) * 2 > len(self.items):
+            # One that was removed stays to be told to those who come late, but not without end.
+            for name in gone:
+                del self.items[name]
+        self.token, self.index = command.token, int(command.listing["index"])
+
+    def whole(self) -> dict[str, Any] | None:
+        if self.index < 0:
+            return None
+        return {"index": self.index, "snapshot": True, "endpoints": list(self.items.values())}
+
+
+@dataclass(slots=True)
+class Ledger:
+    leases: dict[str, Lease] = field(default_factory=dict)
+    listings: Listings = field(default_factory=Listings)
+    entries: deque[EntrySeen] = field(default_factory=lambda: deque(maxlen=MOST_ENTRIES))
+    index: int = 0  # of the last entry of the log
+
+    def apply(self, command: Command) -> tuple[str, list[Event]]:
+        """Why it was refused (empty: it took hold), and what there is to see."""
+        match command:
+            case Acquire():
+                return self._acquire(command)
+            case Renew() | Release():
+                return self._keep(command)
+            case Publish():
+                return self._publish(command)
+            case Append():
+                self.index += 1
+                entry = EntrySeen(self.index, command.kind, command.member, command.body)
+                self.entries.append(entry)
+                return "", [entry]
+
+    def lease(self, duty: str) -> Lease:
+        return self.leases.get(duty) or Lease(duty)
+
+    def _acquire(self, command: Acquire) -> tuple[str, list[Event]]:
+        lease = self.lease(command.duty)
+        if command.duty not in self.leases and len(self.leases) >= MOST_DUTIES:
+            return "size", []
+        if lease.holder != NOBODY and lease.mark != command.over:
+            return "held", []
+        return "", self._set(Lease(command.duty, command.member, lease.token + 1))
+
+    def _keep(self, command: Renew | Release) -> tuple[str, list[Event]]:
+        lease = self.lease(command.duty)
+        if (lease.holder, lease.token) != (command.member, command.token):
+            return "token", []
+        if isinstance(command, Release):
+            return "", self._set(replace(lease, holder=NOBODY))
+        return "", self._set(replace(lease, seq=lease.seq + 1))
+
+    def _publish(self, command: Publish) -> tuple[str, list[Event]]:
+        lease = self.lease(command.duty)
+        if (lease.holder, lease.token) != (command.member, command.token):
+            return "token", []
+        if why := self.listings.refusal(command):
+            return why, []
+        self.listings.take(command)
+        return "", [ListingSeen(command.token, command.base, command.listing)]
+
+    def _set(self, lease: Lease) -> list[Event]:
+        self.leases[lease.duty] = lease
+        return [LeaseSeen(lease)]
--- /dev/null
+++ b/stackrouter/coord/port.py
@@ -0,0 +1,149 @@
+"""What a gateway asks of coordination, and what it hears. Both adapters speak these words.
+
+A command changes the fleet's ledger and is answered with whether it took hold. An answer may be lost (the
+leader died, the link was cut): the caller then asks again, and every command is written so that a late or a
+second taking does no harm. Times are microseconds of the caller's own clock and never travel.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+NOBODY = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """The ledger's record of a duty. `token` grows with every holder, `seq` with every renewal by it."""
+
+    duty: str
+    holder: str = NOBODY
+    token: int = 0
+    seq: int = 0
+
+    @property
+    def mark(self) -> tuple[int, int]:
+        """Changes whenever the lease does: who wants to take over names the mark it saw stand still."""
+        return self.token, self.seq
+
+
+@dataclass(frozen=True, slots=True)
+class Acquire:
+    """Take the duty if it is free, or if its mark is still `over` (its holder has let it lapse)."""
+
+    duty: str
+    member: str
+    over: tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    duty: str
+    member: str
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    duty: str
+    member: str
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """Discovery's answer for all members. `base`: the version that it tells what came after; None: it is
+    whole. `listing`: discovery's own JSON (index, snapshot, endpoints)."""
+
+    duty: str
+    member: str
+    token: int
+    base: int | None
+    listing: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """One entry of the replicated log, in the order in which all members see it."""
+
+    kind: str
+    member: str
+    body: str
+
+
+Command = Acquire | Renew | Release | Publish | Append
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The command with this number took hold or was refused (`why` says by what rule, or what was lost)."""
+
+    number: int
+    accepted: bool
+    lease: Lease | None
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSeen:
+    lease: Lease
+
+
+@dataclass(frozen=True, slots=True)
+class ListingSeen:
+    """A listing was published; `listing` is what was new, `base` as in Publish."""
+
+    token: int
+    base: int | None
+    listing: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySeen:
+    index: int
+    kind: str
+    member: str
+    body: str
+
+
+@dataclass(frozen=True, slots=True)
+class TermSeen:
+    """Who leads the group now, as far as this member knows; NOBODY while nobody does."""
+
+    term: int
+    leader: str
+
+
+Event = Answered | LeaseSeen | ListingSeen | EntrySeen | TermSeen
+
+
+@dataclass(frozen=True, slots=True)
+class MemberView:
+    name: str
+    address: str
+    connected: bool
+
+
+class Coordination(Protocol):
+    """`store_expires`: whether the store itself ends a lease that is not renewed (etcd does). If not, who
+    wants the duty watches its mark stand still for a whole ttl."""
+
+    store_expires: bool
+
+    def start(self, wake: Callable[[], None]) -> None:
+        """Begin; `wake` is called, from any thread, whenever `events` has something."""
+
+    def ask(self, command: Command) -> int:
+        """Hand in a command and return its number at once; its answer may never come."""
+
+    def events(self) -> list[Event]:
+        """What was heard since the last call, in order."""
+
+    def listing(self) -> tuple[int, dict[str, Any]] | None:
+        """Token and whole list of storage nodes as last published; None: none was."""
+
+    def members(self) -> list[MemberView]: ...
+
+    def close(self) -> None: ...
--- a/stackrouter/edge/config.py
+++ b/stackrouter/edge/config.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Annotated, Literal
 
 from annotated_types import Ge, Le, Len
 
+from stackrouter.config import ConfigError, address_of
+
 Port = Annotated[int, Ge(0), Le(65535)]
 Wait = Annotated[int, Ge(1), Le(3_600_000)]
 Name = Annotated[str, Len(1, 64)]
@@ -54,12 +57,76 @@
     format: Literal["plain", "text", "json"] = "plain"  # plain: without structlog
 
 
+@dataclass(frozen=True, slots=True)
+class Peer:
+    name: Name
+    address: str
+    dial: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Drill:
+    receiver: str
+    every_ms: Annotated[int, Ge(1), Le(60_000)] = 40
+    work_ms: Annotated[int, Ge(0), Le(60_000)] = 8
+    clock_ppm: Annotated[int, Ge(-900_000), Le(900_000)] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Coordination:
+    enabled: bool = False
+    store: Literal["raft", "etcd"] = "raft"
+    member: str = ""
+    peer: Annotated[tuple[Peer, ...], Len(0, 64)] = ()
+    folder: str = ""
+    etcd: Annotated[tuple[str, ...], Len(0, 16)] = ()
+    prefix: Annotated[str, Len(1, 256)] = "stackrouter/"
+    ttl_ms: Annotated[int, Ge(100), Le(600_000)] = 3000
+    max_drift_ms: Annotated[int, Ge(0), Le(600_000)] = 300
+    election_ms: Annotated[int, Ge(50), Le(60_000)] = 800
+    stale_ms: Annotated[int, Ge(100), Le(600_000)] = 5000
+    drill: Drill | None = None
+
+    def problem(self) -> str | None:
+        """What the fields say together that cannot be: the field's name and what is allowed."""
+        names = [peer.name for peer in self.peer]
+        addresses = [peer.address for peer in self.peer]
+        if self.max_drift_ms * 2 >= self.ttl_ms:
+            return f"max_drift_ms: must be less than half of ttl_ms ({self.ttl_ms}), not {self.max_drift_ms}"
+        if len(set(names)) < len(names) or len(set(addresses)) < len(addresses):
+            return "peer: names and addresses must differ"
+        if self.member and names and self.member not in names:
+            return f"member: must be one of the peers ({', '.join(names)}), not {self.member!r}"
+        if self.store == "raft" and not self.peer:
+            return "peer: must be set where store is raft"
+        if self.store == "raft" and not self.folder:
+            return "folder: must be set where store is raft"
+        if self.store == "etcd" and not self.etcd:
+            return "etcd: must be set where store is etcd"
+        try:
+            for place, address in self._addresses():
+                address_of(address, place)
+        except ConfigError as error:
+            return str(error)
+        return None
+
+    def _addresses(self) -> Iterator[tuple[str, str]]:
+        for i, peer in enumerate(self.peer):
+            yield f"peer[{i}].address", peer.address
+            if peer.dial:
+                yield f"peer[{i}].dial", peer.dial
+        yield from ((f"etcd[{i}]", address) for i, address in enumerate(self.etcd))
+        if self.drill is not None:
+            yield "drill.receiver", self.drill.receiver
+
+
 @dataclass(frozen=True, slots=True)
 class Edge:
     sftp: Sftp = field(default_factory=Sftp)
     accounts: Accounts = field(default_factory=Accounts)
     trace: Trace = field(default_factory=Trace)
     log: Log = field(default_factory=Log)
+    coordination: Coordination = field(default_factory=Coordination)
 
 
 # What must be set where a part is enabled.
--- a/stackrouter/edge/load.py
+++ b/stackrouter/edge/load.py
@@ -39,6 +39,8 @@
         missing = [field for field in fields if section.enabled and not getattr(section, field)]
         if missing:
             raise EdgeError(f"{name}: {part}.{missing[0]}: must be set where {part} is enabled")
+    if edge.coordination.enabled and (problem := edge.coordination.problem()):
+        raise EdgeError(f"{name}: coordination.{problem}")
     return edge
 
 
--- a/stackrouter/edge/wiring.py
+++ b/stackrouter/edge/wiring.py
@@ -21,6 +21,9 @@
 
 if TYPE_CHECKING:
     from stackrouter.accounts.live import Live
+    from stackrouter.coord.member import Member
+    from stackrouter.core.counters import Counters
+    from stackrouter.net.discovery import Discovery
     from stackrouter.trace.record import Recorder
 
 logger = logging.getLogger(__name__)
@@ -40,6 +43,7 @@
         self.sftp = sftp_settings(config, self.edge.sftp)
         self.live: Live | None = None
         self.recorder: Recorder | None = None
+        self.member: Member | None = None
         self._due = Event()  # a block's worth of facts waits to be written
         try:
             if self.edge.log.format != "plain":
@@ -66,6 +70,22 @@
             file.open("ab").close()  # OSError at the start, not once the engine runs
             self.recorder = Recorder(Sink(file, header, edge.trace.most_mb << 20, edge.trace.keep))
 
+    def coordinate(self, discovery: Discovery, counters: Counters) -> None:
+        """Join the other gateways. ConfigError: this one is not among the peers, or a library is missing."""
+        if not self.edge.coordination.enabled:
+            return
+        try:
+            from stackrouter.coord.join import join
+        except ImportError as error:
+            raise ConfigError(f"coordination: needs {error.name}: install stackrouter[coord]") from None
+
+        self.member = join(self.edge.coordination, self.config.name, discovery, counters)
+
+    def leave(self) -> None:
+        """This gateway stops: its duties are given back at once, so that nobody waits for them to lapse."""
+        if self.member is not None:
+            self.member.leave()
+
     def attach(self, engine: Engine, pool: Pool) -> None:
         subscribers = [s for s in (self.live, self.recorder) if s is not None]
         for subscriber in subscribers:
@@ -91,5 +111,7 @@
             logger.warning("trace: %d facts left out", self.recorder.left_out)
 
     def close(self) -> None:
+        if self.member is not None:
+            self.member.close()
         if self.recorder is not None:
             self.recorder.close()
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -7,7 +7,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, Protocol
 
 import gevent
 import httptools
@@ -39,6 +39,16 @@
 Told = Callable[[ListKind, int, Sequence[NodeEntry], dict[str, tuple[str, int]]], None]
 
 
+class Fleet(Protocol):
+    """Other gateways, one of which asks discovery for all (coord.member); without it each asks for itself."""
+
+    def wait_s(self) -> float:
+        """How long this gateway need not ask; 0: it is to ask now."""
+
+    def told(self, base: int | None, listing: dict[str, Any]) -> None:
+        """Discovery answered: what changed after version `base`, None: the whole list."""
+
+
 class Listing:
     """Turns discovery's JSON into the module's words."""
 
@@ -97,6 +107,13 @@
         self._sock: socket.socket | None = None
         self._index = known  # the version that the gateway has; None: the next call fetches the whole list
         self._moved = Event()
+        self.fleet: Fleet | None = None
+
+    def follow(self, raw: dict[str, Any]) -> None:
+        """Another gateway hands on what discovery told it. Not taken before this one has a list of its own
+        that counts: the answer to its own call is on its way then."""
+        if self._index is not None:
+            self._take(raw)
 
     def refetch(self) -> None:
         self._index = None
@@ -113,6 +130,10 @@
         # as told to a gateway that did not ask, and a node drained meanwhile would still be sent work.
         # Only calls that are turned away are spread.
         while True:
+            fleet = self.fleet
+            if fleet is not None and self._index is not None and (pause_s := fleet.wait_s()) > 0:
+                self._moved.wait(pause_s)
+                continue
             try:
                 self._call()
             except RefusedError as error:
@@ -138,14 +159,20 @@
         raw = json.loads(self._get(f"/v1/endpoints{query}", ANSWER_S + (WAIT_MS / 1000 if query else 0)))
         if self._moved.is_set():
             return  # the old address's answer: its version means nothing at the new one
+        if index is None or self._index is None or int(raw["index"]) >= self._index:
+            self._take(raw)  # else: what another gateway handed on meanwhile is newer
+        self._backoff.answered()
+        self._lost.answered()
+        self.counters.add("discovery.answers")
+        if self.fleet is not None:
+            self.fleet.told(None if raw.get("snapshot") else index, raw)
+
+    def _take(self, raw: dict[str, Any]) -> None:
         version, whole, entries, addresses = self.listing.read(raw)
         self._doubt(version, whole, len(entries), len(addresses))
         if whole or entries:
             self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
         self._index = version
-        self._backoff.answered()
-        self._lost.answered()
-        self.counters.add("discovery.answers")
 
     def _doubt(self, version: int, whole: bool, entries: int, nodes: int) -> None:
         """What is odd is said, counted and believed: a node told to be gone must get nothing new."""
--- a/stackrouter/standins/discovery.py
+++ b/stackrouter/standins/discovery.py
@@ -24,6 +24,7 @@
     def __init__(self, entries: Iterable[Entry]) -> None:
         self.entries = {e["name"]: e for e in entries}
         self.index = 1
+        self.calls = 0
         self._changed: dict[str, int] = {}
         self._news = Event()
         self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None)
@@ -46,6 +47,7 @@
         return {"index": self.index, "snapshot": True, "endpoints": up}
 
     def _answer(self, environ: dict[str, Any], start: Callable[..., Any]) -> list[bytes]:
+        self.calls += 1
         query = parse_qs(environ.get("QUERY_STRING", ""))
         if environ.get("PATH_INFO") != "/v1/endpoints":
             start("404 Not Found", [("Content-Length", "0")])
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -39,6 +39,15 @@
         ('log { format: "xml" }', "log.format: input should be 'plain', 'text' or 'json', not 'xml'"),
         ("trace { enabled: true }", "trace.file: must be set where trace is enabled"),
         ('sftp { volume { prefix: "/a" plan: "p" } }', "sftp.volume[0].volume: field required"),
+        ("coordination { enabled: true }", "coordination.peer: must be set where store is raft"),
+        (
+            'coordination { enabled: true folder: "f" peer { name: "a" address: "here" } }',
+            "coordination.peer[0].address: not an address: 'here'",
+        ),
+        (
+            "coordination { enabled: true max_drift_ms: 1500 }",
+            "coordination.max_drift_ms: must be less than half of ttl_ms (3000), not 1500",
+        ),
         (
             'sftp { volume { prefix: "/a" plan: "p" volume: "v" shard: -1 } }',
             "sftp.volume[0].shard: input should be",
@@ -67,6 +76,8 @@
         ("model", "run", "--noisy", "loud"),
         ("trace", "show", str(tmp_path / "none")),
         ("demo", "--noisy", "loud"),
+        ("fleet", "run", "--nemesis", "flood"),
+        ("fleet", "run", "--members", "9-3"),
     ):
         done = run(*words)
         assert done.returncode == 2 and done.stdout == "", words
@@ -97,8 +108,8 @@
 
 
 def test_the_platforms_start_imports_nothing_that_is_off() -> None:
-    off = "google pydantic zstandard structlog hdrh typer rich jinja2 annotated_types".split()
-    off += [f"stackrouter.{part}" for part in ("accounts", "trace", "edge", "cli", "model")]
+    off = "google pydantic zstandard structlog hdrh typer rich jinja2 annotated_types pysyncobj".split()
+    off += [f"stackrouter.{part}" for part in ("accounts", "trace", "edge", "cli", "coord", "fleet", "model")]
     code = f"import sys, stackrouter.__main__; print([m for m in {off} if m in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
--- /dev/null
+++ b/tests/test_coord.py
@@ -0,0 +1,289 @@
+"""Coordination's decisions without I/O: leases under drift and loss, the ledger, the fence, the follower;
+and the adapter for a store, against the stand-in."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from collections.abc import Callable
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stackrouter.coord.fence import Fence
+from stackrouter.coord.lease import Ask, Begin, End, LeaseKeeper, Timing, bears
+from stackrouter.coord.ledger import Ledger
+from stackrouter.coord.port import (
+    Acquire,
+    Answered,
+    Append,
+    Command,
+    EntrySeen,
+    Lease,
+    LeaseSeen,
+    ListingSeen,
+    Publish,
+    Release,
+    Renew,
+)
+from stackrouter.coord.watch import Follower, Role, Verdict
+from stackrouter.fleet.check import Action, Fault, check
+from stackrouter.fleet.schedule import DEFAULT, draw
+
+MS = 1000
+TIMING = Timing(ttl_us=800 * MS, max_drift_us=80 * MS, renew_us=180 * MS, ask_us=180 * MS)
+END_MS = 8000
+
+
+class Play:
+    """Keepers on one ledger in true time, each with a clock of its own rate; messages are late or lost,
+    members cut off for a while. Returns when each looked and saw its lease in force."""
+
+    def __init__(self, rates: list[float], seed: int, loss: float, cuts: list[tuple[int, int, int]]) -> None:
+        self.rng, self.loss, self.cuts = Random(seed), loss, cuts
+        self.rates, self.ledger = rates, Ledger()
+        self.keepers = [LeaseKeeper("d", f"m{i}", TIMING, self.clock(i, 0)) for i in range(len(rates))]
+        self.mail: list[tuple[int, int, Callable[[], object]]] = []
+        self.looks: list[tuple[int, int, int]] = []  # true ms, token, member
+        self.begun = 0
+
+    def clock(self, i: int, ms: int) -> int:
+        return int(ms * MS * self.rates[i])
+
+    def cut(self, i: int, ms: int) -> bool:
+        return any(i == member and begin <= ms < end for member, begin, end in self.cuts)
+
+    def post(self, ms: int, i: int, what: Callable[[], object]) -> None:
+        if not self.cut(i, ms) and self.rng.random() >= self.loss:
+            self.mail.append((ms + self.rng.randint(1, 120), i, what))
+
+    def do(self, ms: int, i: int, actions: list[Ask | Begin | End]) -> None:
+        for action in actions:
+            self.begun += isinstance(action, Begin)
+            if isinstance(action, Ask):
+                number = self.rng.getrandbits(48)
+                if not isinstance(action.command, Release):
+                    self.keepers[i].numbered(number, self.clock(i, ms))
+                self.post(ms, i, lambda c=action.command, n=number: self.commit(i, c, n))  # type: ignore[misc]
+
+    def commit(self, i: int, command: Acquire | Renew | Release, number: int) -> None:
+        why, events = self.ledger.apply(command)
+        answer = Answered(number, not why, self.ledger.lease("d"), why)
+        self.post(
+            self.now,
+            i,
+            lambda: self.do(self.now, i, self.keepers[i].answered(answer, self.clock(i, self.now))),
+        )
+        for event in events:
+            if isinstance(event, LeaseSeen):
+                for j in range(len(self.keepers)):
+                    self.post(self.now, j, lambda j=j, e=event: self.see(j, e.lease))  # type: ignore[misc]
+
+    def see(self, j: int, lease: Lease) -> None:
+        if (
+            lease.mark >= self.keepers[j].seen.mark
+        ):  # members hear in order; what is lost is made up for later
+            self.do(self.now, j, self.keepers[j].saw(lease, self.clock(j, self.now)))
+
+    def run(self) -> list[tuple[int, int, int]]:
+        for self.now in range(END_MS):
+            due = [m for m in self.mail if m[0] <= self.now]
+            self.mail = [m for m in self.mail if m[0] > self.now]
+            for _, i, what in due:
+                if not self.cut(i, self.now):
+                    what()
+            for i, keeper in enumerate(self.keepers):
+                self.do(self.now, i, keeper.tick(self.clock(i, self.now)))
+                if (token := keeper.acting(self.clock(i, self.now))) is not None:
+                    self.looks.append((self.now, token, i))
+        return self.looks
+
+
+def overlaps(looks: list[tuple[int, int, int]]) -> int:
+    highest, count = 0, 0
+    for _, token, _ in looks:
+        count += token < highest
+        highest = max(highest, token)
+    return count
+
+
+Cuts = st.lists(st.tuples(st.integers(0, 2), st.integers(0, 5000), st.integers(100, 3000)), max_size=4)
+
+
+class LeaseTest(unittest.TestCase):
+    @settings(max_examples=25, deadline=None)
+    @given(st.integers(0, 1 << 30), st.sampled_from([0.0, 0.1, 0.3]), Cuts,
+           st.lists(st.floats(0.953, 1.047), min_size=3, max_size=3))  # fmt: skip
+    def test_within_the_drift_no_two_believe_they_hold_it(
+        self, seed: int, loss: float, spans: list[tuple[int, int, int]], rates: list[float]
+    ) -> None:
+        self.assertTrue(bears(TIMING, min(rates), max(rates)))
+        play = Play(rates, seed, loss, [(m, at, at + long) for m, at, long in spans])
+        self.assertEqual(overlaps(play.run()), 0)
+
+    def test_the_bound_is_where_it_is_stated(self) -> None:
+        # Member 0 holds, is cut off, and its clock runs slower than member 1's.
+        for ratio, held in ((0.91, True), (0.70, False)):
+            self.assertEqual(bears(TIMING, ratio, 1.0), held)
+            looks = Play([ratio, 1.0], 1, 0.0, [(1, 0, 300), (0, 1500, 4000)]).run()
+            self.assertIn(1, {member for _, _, member in looks})  # the other did take over
+            self.assertEqual(overlaps(looks) == 0, held, ratio)
+            fence = Fence()  # beyond the bound the receiving side still takes no action out of turn
+            self.assertEqual(overlaps([x for x in looks if fence.admit("d", x[1])]), 0)
+
+    def test_a_holder_that_stood_still_past_its_lease_does_not_act_and_a_late_answer_begins_nothing(
+        self,
+    ) -> None:
+        keeper = LeaseKeeper("d", "a", TIMING, 0)
+        self.assertEqual(keeper.tick(0), [Ask(Acquire("d", "a", (0, 0)))])
+        keeper.numbered(1, 0)
+        self.assertEqual(
+            keeper.answered(Answered(1, True, Lease("d", "a", 1)), 720 * MS), []
+        )  # known too late
+        self.assertIsNone(keeper.acting(720 * MS))
+        keeper = LeaseKeeper("d", "a", TIMING, 0)
+        keeper.tick(0)
+        keeper.numbered(1, 0)
+        self.assertEqual(keeper.answered(Answered(1, True, Lease("d", "a", 1)), 10 * MS), [Begin("d", 1)])
+        self.assertEqual(keeper.acting(719 * MS), 1)
+        self.assertIsNone(keeper.acting(720 * MS))
+        self.assertEqual(keeper.tick(5000 * MS), [End("d", 1, "lapsed")])
+
+    def test_a_lease_of_a_former_life_is_not_acted_under(self) -> None:
+        keeper = LeaseKeeper("d", "a#2", TIMING, 0)
+        self.assertEqual(keeper.saw(Lease("d", "a#1", 4, 2), 0), [])
+        self.assertIsNone(keeper.acting(1))
+        self.assertEqual(keeper.tick(799 * MS), [])
+        self.assertEqual(keeper.tick(800 * MS), [Ask(Acquire("d", "a#2", (4, 2)))])
+
+
+class LedgerTest(unittest.TestCase):
+    @given(
+        st.lists(st.tuples(st.sampled_from("arlp"), st.sampled_from("xyz"), st.integers(0, 4)), max_size=60)
+    )
+    def test_tokens_only_grow_and_only_the_holder_is_heard(self, steps: list[tuple[str, str, int]]) -> None:
+        ledger = Ledger()
+        for index, (kind, member, token) in enumerate(steps):
+            before = ledger.lease("d")
+            commands: dict[str, Command] = {
+                "a": Acquire("d", member, (token, before.seq)),
+                "r": Renew("d", member, token),
+                "l": Release("d", member, token),
+                "p": Publish("d", member, token, None, {"index": index, "endpoints": []}),
+            }
+            why, _ = ledger.apply(commands[kind])
+            after = ledger.lease("d")
+            self.assertGreaterEqual(after.mark, before.mark)
+            if kind == "a":
+                self.assertEqual(not why, not before.holder or before.mark == (token, before.seq))
+                self.assertEqual(after.token, before.token + (not why))
+            else:
+                self.assertEqual(not why, (before.holder, before.token) == (member, token))
+
+    def test_changes_build_on_the_list_and_a_gap_is_refused(self) -> None:
+        ledger = Ledger()
+        ledger.apply(Acquire("watch", "a", (0, 0)))
+        up, drains = {"name": "n", "status": "up"}, {"name": "n", "status": "draining"}
+
+        def publish(base: int | None, index: int, *items: dict[str, str]) -> str:
+            body = {"index": index, "endpoints": list(items)}
+            return ledger.apply(Publish("watch", "a", 1, base, body))[0]
+
+        self.assertEqual(publish(3, 4, up), "gap")  # nothing to build on
+        self.assertEqual(publish(None, 5, up), "")
+        self.assertEqual(publish(7, 8, drains), "gap")
+        self.assertEqual(publish(5, 6, drains), "")
+        self.assertEqual(publish(3, 4, up), "older")
+        self.assertEqual(ledger.listings.whole(), {"index": 6, "snapshot": True, "endpoints": [drains]})
+
+
+class FollowerTest(unittest.TestCase):
+    def test_follows_what_it_can_build_on_and_asks_for_itself_once_the_watcher_is_unheard_of(self) -> None:
+        f = Follower(stale_us=100)
+        self.assertEqual(
+            f.takes(0, 1, None, 9), Verdict.LEAVE
+        )  # a journal's old list, before its own first call
+        self.assertEqual(f.role(0, False), Role.ALONE)
+        f.asked(5)
+        self.assertEqual(f.takes(10, 2, 5, 6), Verdict.TAKE)
+        self.assertEqual((f.role(20, False), f.role(20, True)), (Role.FOLLOW, Role.WATCH))
+        self.assertEqual(f.takes(30, 1, 6, 7), Verdict.LEAVE)  # a watcher that another has followed
+        self.assertEqual(f.takes(40, 2, 7, 8), Verdict.GAP)
+        self.assertEqual(f.takes(50, 2, None, 5), Verdict.LEAVE)  # older than what it has
+        self.assertEqual(f.role(109, False), Role.FOLLOW)
+        self.assertEqual(f.role(110, False), Role.ALONE)
+
+
+class CheckTest(unittest.TestCase):
+    def test_overlaps_are_found_and_handoffs_measured(self) -> None:
+        ms = 1_000_000
+        good = [Action(at * ms, "d", t, f"{m}#1", at * ms, True)
+                for at, t, m in ((0, 1, "a"), (10, 1, "a"), (900, 2, "b"))]  # fmt: skip
+        found = check(good, [Fault(20 * ms, 800 * ms, "stall", "a")])
+        self.assertEqual((found.overlaps, found.belief_overlaps, found.unfinished), (0, 0, 0))
+        self.assertEqual([(h.ms, h.clean) for h in found.handoffs], [(880.0, True)])
+        late = Action(910 * ms, "d", 1, "a#1", 15 * ms, True)
+        self.assertEqual(check([*good, late], []).overlaps, 1)
+        self.assertEqual(check([*good, late], []).belief_overlaps, 0)  # it had looked in time
+        twin = Action(910 * ms, "d", 2, "c#1", 910 * ms, True)
+        self.assertEqual(check([*good, twin], []).overlaps, 1)
+        self.assertEqual(check(good[:2], [Fault(20 * ms, 800 * ms, "kill", "a")]).unfinished, 1)
+
+    def test_a_seed_draws_the_same_schedule_and_its_clocks_keep_the_bound(self) -> None:
+        for seed in range(200):
+            drawn = draw(seed, 5, DEFAULT, 6.0, 800 * MS, 80 * MS, ("d",))
+            self.assertEqual(drawn, draw(seed, 5, DEFAULT, 6.0, 800 * MS, 80 * MS, ("d",)))
+            rates = [1 + ppm / 1e6 for ppm in drawn.clock_ppm]
+            self.assertTrue(bears(TIMING, min(rates), max(rates)))
+
+
+class EtcdTest(unittest.TestCase):
+    def setUp(self) -> None:
+        from stackrouter.coord.etcd import Etcd
+        from tests.standins.etcd import StandinEtcd
+
+        self.server = StandinEtcd()
+        self.addCleanup(self.server.stop)
+        self.stores = [Etcd([self.server.server_address[:2]], "t/", 1_000_000) for _ in range(2)]  # type: ignore[list-item]
+        self.heard: list[list[object]] = [[], []]
+        for store in self.stores:
+            store.start(lambda: None)
+            self.addCleanup(store.close)
+
+    def hear(self, i: int, so: Callable[[object], bool]) -> object:
+        until = time.monotonic() + 10
+        while not (found := [e for e in self.heard[i] if so(e)]):
+            self.assertLess(time.monotonic(), until, self.heard[i])
+            self.heard[i] += self.stores[i].events()
+            time.sleep(0.01)
+        self.heard[i].clear()
+        return found[-1]
+
+    def ask(self, i: int, command: Command) -> Answered:
+        number = self.stores[i].ask(command)
+        answer = self.hear(i, lambda e: isinstance(e, Answered) and e.number == number)
+        assert isinstance(answer, Answered)
+        return answer
+
+    def test_leases_tokens_listing_and_log_through_the_published_api(self) -> None:
+        first = self.ask(0, Acquire("watch", "a", (0, 0)))
+        assert first.accepted and first.lease is not None
+        token = first.lease.token
+        self.assertEqual(self.ask(1, Acquire("watch", "b", (0, 0))).why, "held")
+        self.assertTrue(self.ask(0, Renew("watch", "a", token)).accepted)
+        listing = {"index": 4, "endpoints": [{"name": "n", "status": "up"}]}
+        self.assertTrue(self.ask(0, Publish("watch", "a", token, None, listing)).accepted)
+        self.hear(1, lambda e: isinstance(e, ListingSeen) and e.listing["index"] == 4)
+        self.assertTrue(self.ask(1, Append("policy", "b", "x")).accepted)
+        self.hear(0, lambda e: e == EntrySeen(1, "policy", "b", "x"))
+        # Not kept alive, the key goes: the duty is free, its next token is higher, the old one is refused.
+        self.hear(1, lambda e: isinstance(e, LeaseSeen) and not e.lease.holder)
+        second = self.ask(1, Acquire("watch", "b", (0, 0)))
+        assert second.accepted and second.lease is not None
+        self.assertGreater(second.lease.token, token)
+        self.assertEqual(self.ask(0, Renew("watch", "a", token)).why, "token")
+        self.assertFalse(self.ask(0, Publish("watch", "a", token, None, listing | {"index": 5})).accepted)
+        # A store that fails answers every ask as refused, and nothing hangs.
+        self.server.failing = True
+        self.assertIn("store", self.ask(1, Renew("watch", "b", second.lease.token)).why)
