--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -194,10 +194,10 @@
     medians = {name: percentile(values, 0.5) for name, values in load.items()}
     by_kind = {kind: percentile([ms for k, ms, c in handoffs if c and k == kind], 0.99)
             for kind in sorted({k for k, _, _ in handoffs})}  # fmt: skip
-    told: dict[str, Any] = {
+    seeds_told: dict[str, Any] = {
         "by_kind": dict(kinds),
         "exits": dict(exits),
         "bad_seeds": bad,
         "slow_seeds": slow,
     }
-    return total | told | {"p99_by_kind": by_kind, **medians} | _times(handoffs)
+    return total | seeds_told | {"p99_by_kind": by_kind, **medians} | _times(handoffs)
