--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -17,7 +17,7 @@
 
 from rackseam.interface import ListKind, Settings
 from stackrouter import log
-from stackrouter.config import Config, ConfigError, load, reload
+from stackrouter.config import Config, ConfigError, load, reload, with_policy
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.fronts.platform.client import BUSY, PATIENCE, Names, PlatformSession
@@ -107,11 +107,25 @@
         self.counters.add("reloads.done")
         self._limit(config)
         self.discovery.move(config.discovery)
+        if self.extras is not None and self.extras.policy_in_force():
+            logger.warning("settings of the file are left out: a policy of the fleet is in force")
+            return
         self._retune(settings, bound, unknown)
         logger.info(
             "configuration read again: discovery at %s:%d, classes %s", *config.discovery, sorted(bound)
         )
 
+    def take_policy(self, text: str) -> None:
+        """Serve under these settings from now on; open requests keep their rules. ConfigError or RetuneError:
+        nothing has changed."""
+        config = with_policy(text)
+        settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
+                                         self.names.classes, config.writes_stated)  # fmt: skip
+        self._retune(settings, bound, unknown)
+        if self._binding is not None:
+            self._binding.kill(block=False)
+        self._bind(bound)
+
     def _retune(self, settings: Settings, bound: dict[str, int], unknown: set[int]) -> None:
         """Open requests keep their class's index; names of new classes are known at once, and every name
         takes its new rules BIND_S later, when clients begin to use them."""
@@ -138,7 +152,11 @@
         (PING says no, connections close once nothing is owed on them); `active` ends the drain."""
         now = time.monotonic()
         if call == "status":
-            return "FAILURE stopping" if self._terminated.is_set() else f"SUCCESS {self.drain.status(now)}"
+            if self._terminated.is_set():
+                return "FAILURE stopping"
+            if self.extras is not None and (why := self.extras.not_ready()):
+                return f"FAILURE {why}"
+            return f"SUCCESS {self.drain.status(now)}"
         if call == "standby":
             began = self.drain.standby(now)
             self.counters.add("drains.begun" if began else "drains.again")
@@ -150,6 +168,8 @@
             self.counters.add("drains.ended" if self.drain.active() else "drains.none")
             logger.info("active: PING says yes")
             return "SUCCESS serving"
+        if call.startswith("policy ") and self.extras is not None:
+            return self.extras.policy_call(call)
         return f"FAILURE {call[:40]!r}: not a call of this gateway"
 
     def print_counters(self) -> None:
@@ -196,7 +216,7 @@
         gateway = Gateway(config, extras.sftp if extras else None)
         if extras:
             extras.attach(gateway.engine, gateway.pool)
-            extras.coordinate(gateway.discovery, gateway.counters)
+            extras.coordinate(gateway.discovery, gateway.counters, gateway.engine, gateway.take_policy)
             gateway.extras = extras
     except (ConfigError, OSError) as error:
         print(f"stackrouter: {error}", file=sys.stderr)
--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -22,8 +22,10 @@
 
 app = typer.Typer(no_args_is_help=True, help="Several gateways, with faults between them.")
 
+BROKEN = ("overlaps", "belief_overlaps", "unfinished", "uncommitted_served", "twins", "disagreed")
 FEWEST, MOST = 1, 15
 SLACK_MS = 500  # beyond ttl and election: the bound that handoffs are held to
+TOUCH_MS, SAMPLE_MS = 1000, 60  # fleet.rig's touch; its members say every 40 ms what they serve under
 Handoffs = list[tuple[str, float, bool]]  # the fault's kind, milliseconds, whether nothing else was wrong
 
 
@@ -38,13 +40,18 @@
     nemesis: Annotated[str, typer.Option(help="Kinds of faults, by commas; all, or none.")] = "all",
     seed: int = 1,
     seconds: Annotated[float, typer.Option(min=0.5, max=3600, help="How long faults come.")] = 6.0,
-    check: Annotated[Literal["lease"], typer.Option(help="What the history is checked for.")] = "lease",
-    ttl_ms: Annotated[int, typer.Option(min=200, max=60_000)] = 1000,
-    drift_ms: Annotated[int, typer.Option(min=0, help="How far clocks may move apart in a ttl.")] = 100,
-    election_ms: Annotated[int, typer.Option(min=100, max=10_000)] = 600,
+    check: Annotated[
+        Literal["lease", "policy"], typer.Option(help="What the history is checked for.")
+    ] = "lease",
+    ttl_ms: Annotated[int, typer.Option(min=200, max=60_000)] = 800,
+    drift_ms: Annotated[int, typer.Option(min=0, help="How far clocks may move apart in a ttl.")] = 80,
+    election_ms: Annotated[int, typer.Option(min=100, max=10_000)] = 400,
     work_ms: Annotated[
         int, typer.Option(min=0, max=10_000, help="From a member's look at its lease to its action.")
     ] = 8,
+    load: Annotated[
+        float, typer.Option(min=0, max=2, help="Clients that ask for this part of what the nodes bear.")
+    ] = 0.0,
     unfenced: Annotated[
         bool, typer.Option(help="Plant a fault: the receiving side looks at no token.")
     ] = False,
@@ -70,21 +77,30 @@
     if runs > rounds:
         options = ["--members", members, "--nemesis", nemesis, "--seconds", str(seconds), "--check", check,
                    "--ttl-ms", str(ttl_ms), "--drift-ms", str(drift_ms), "--election-ms", str(election_ms),
-                   "--work-ms", str(work_ms), "--rounds", str(rounds), *(["--unfenced"] if unfenced else []),
+                   "--work-ms", str(work_ms), "--rounds", str(rounds), "--load", str(load),
+                   *(["--unfenced"] if unfenced else []),
                    *(["--logs", str(logs)] if logs else [])]  # fmt: skip
         figures = _many(options, range(seed, seed + runs, rounds), parallel)
     else:
         from stackrouter.fleet.rig import Setup
 
         setup = Setup(count, seed, seconds, named, ttl_ms, drift_ms, election_ms, work_ms,
-                      not unfenced)  # fmt: skip
+                      policy=check == "policy", load=load, fenced=not unfenced)  # fmt: skip
         figures = _one(setup, logs, rounds)
     bound = ttl_ms + election_ms + SLACK_MS
     within_drift = "skew-beyond" not in named
     holds = not (figures["overlaps"] or figures["failed"] or figures["unfinished"])
     holds = holds and not (within_drift and figures["belief_overlaps"])
+    if check == "policy":
+        # A member that has not heard of a version has stopped taking requests before anybody serves under it;
+        # its clock and ours may differ by the drift, and a sample comes at most so much late.
+        split_bound = TOUCH_MS * (1 + drift_ms / ttl_ms) + SAMPLE_MS
+        figures["split_bound_ms"] = split_bound
+        holds = holds and not (figures["uncommitted_served"] or figures["twins"] or figures["disagreed"])
+        holds = holds and (figures["split_ms_max"] or 0) <= split_bound
     p99 = figures["handoff_ms_p99"]
-    figures |= {"handoff_bound_ms": bound, "ok": holds and (p99 is None or p99 < bound)}
+    slow = check == "lease" and p99 is not None and p99 >= bound
+    figures |= {"handoff_bound_ms": bound, "ok": holds and not slow}
     if as_json:
         print_json(figures)
     else:
@@ -131,8 +147,41 @@
         "cpu_ms_s": [round(v, 1) for v in rig.load.cpu_ms_s],
         "rss_mib": [round(v, 1) for v in rig.load.rss_mib],
         "discovery_calls_s": round(calls_s, 2),
-        "exits": dict(Counter(str(code) for code in rig.exits)),
-    } | _times(handoffs)  # fmt: skip
+        "exits": dict(Counter(str(code) for code in rig.exits)), "requests": _requests(rig),
+    } | _times(handoffs) | (_policy(rig) if rig.setup.policy else {})  # fmt: skip
+
+
+def _requests(rig: Rig) -> dict[str, Any]:
+    """What the clients were told; `slowest_ms` of the last 500 answers of each volume."""
+    if rig.clients is None:
+        return {}
+    told = list(rig.clients.told.values())
+    verdicts = sum((t.verdicts for t in told), Counter[str]())
+    return dict(verdicts) | {"slowest_ms": round(1000 * max(max(t.recent, default=0.0) for t in told), 1)}
+
+
+def _policy(rig: Rig) -> dict[str, Any]:
+    verdict = rig.policy()
+    committed = len({number for ledger in rig.ledgers for number, _ in ledger})
+    return {
+        "uncommitted_served": verdict.uncommitted_served, "twins": verdict.twins, "disagreed": rig.disagreed,
+        "committed": committed, "aborted": sum(rig.changes.values()) - committed,
+        "changes": dict(rig.changes), "samples": verdict.samples,
+        "splits_ms": [round(ms, 1) for ms in verdict.splits_ms],
+        "spreads_ms": [round(ms, 1) for ms in verdict.spreads_ms],
+    } | _spans([*verdict.splits_ms], [*verdict.spreads_ms])  # fmt: skip
+
+
+def _spans(splits: list[float], spreads: list[float]) -> dict[str, Any]:
+    """How long two versions were served under at once; how long until the last member had come to a
+    version."""
+    from stackrouter.fleet.check import percentile
+
+    told: dict[str, Any] = {}
+    for name, values in (("split", splits), ("spread", spreads)):
+        told |= {f"{name}_ms_p50": percentile(values, 0.5), f"{name}_ms_p99": percentile(values, 0.99),
+                 f"{name}_ms_max": max(values, default=None)}  # fmt: skip
+    return told
 
 
 def _times(handoffs: Handoffs) -> dict[str, Any]:
@@ -152,8 +201,15 @@
     """Each seed in a process of its own, `parallel` at a time; sums, and the seeds that did not hold."""
     left, running = list(seeds), dict[int, subprocess.Popen[str]]()
     total: dict[str, Any] = {"members": options[1], "seed": seeds[0], "runs": 0, "failed": 0}
-    sums = ("overlaps", "belief_overlaps", "refused", "actions", "unfinished", "faults")
+    sums: tuple[str, ...] = ("overlaps", "belief_overlaps", "refused", "actions", "unfinished", "faults")
+    sums += (
+        ("uncommitted_served", "twins", "disagreed", "committed", "aborted", "samples")
+        if "policy" in options
+        else ()
+    )
     total |= dict.fromkeys(sums, 0)
+    spans: dict[str, list[float]] = {"splits_ms": [], "spreads_ms": []}
+    changes: Counter[str] = Counter()
     kinds: Counter[str] = Counter()
     exits: Counter[str] = Counter()
     handoffs: Handoffs = []
@@ -185,9 +241,12 @@
                 handoffs += [(kind, ms, clean) for kind, ms, clean in one["handoffs"]]
                 for name, values in load.items():
                     values += one[name]
+                for name, values in spans.items():
+                    values += one.get(name, ())
+                changes.update(one.get("changes", {}))
                 # A single run's percentile is its slowest handoff: only the sum of all runs is held to the
                 # bound.
-                if one["overlaps"] or one["belief_overlaps"] or one["unfinished"]:
+                if any(one.get(name) for name in BROKEN):
                     bad.append(str(seed))
     from stackrouter.fleet.check import percentile
 
@@ -200,4 +259,14 @@
         "bad_seeds": bad,
         "slow_seeds": slow,
     }
-    return total | seeds_told | {"p99_by_kind": by_kind, **medians} | _times(handoffs)
+    return (
+        total
+        | seeds_told
+        | {"p99_by_kind": by_kind, **medians}
+        | _times(handoffs)
+        | (
+            {"changes": dict(changes), **_spans(**{n.removesuffix("_ms"): v for n, v in spans.items()})}
+            if "policy" in options
+            else {}
+        )
+    )
--- a/stackrouter/cli/main.py
+++ b/stackrouter/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from stackrouter.cli import bench, checks, demo, fleet, model, report, trace
+from stackrouter.cli import bench, checks, demo, fleet, model, policy, report, trace
 from stackrouter.cli.shared import InputError
 
 app = typer.Typer(name="stackrouter", no_args_is_help=True, rich_markup_mode=None,
@@ -18,6 +18,7 @@
 app.command("check")(checks.check)
 app.command("demo")(demo.demo)
 app.add_typer(fleet.app, name="fleet")
+app.add_typer(policy.app, name="policy")
 app.add_typer(model.app, name="model")
 app.add_typer(trace.app, name="trace")
 app.add_typer(report.app, name="report")
--- /dev/null
+++ b/stackrouter/cli/policy.py
@@ -0,0 +1,80 @@
+"""`policy`: see and change what the whole fleet serves under, through any member's door."""
+
+from __future__ import annotations
+
+import json
+import socket
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from stackrouter.cli.shared import NOT_SO, AsJson, InputError, out, print_json
+from stackrouter.config import ConfigError, address_of
+
+app = typer.Typer(no_args_is_help=True, help="The policy that the whole fleet serves under.")
+ANSWER_S = 2.0
+
+Door = Annotated[str, typer.Option(help="A member's door, address:port (GW_ADMIN there).", envvar="GW_ADMIN")]
+Base = Annotated[int | None, typer.Option(min=0, help="The version this builds on; the newest unless given.")]
+
+
+@app.command()
+def status(door: Door, as_json: AsJson = False) -> None:
+    """Which version is committed, and which each member serves under."""
+    told = _status(door)
+    if as_json:
+        print_json(told)
+        return
+    out.print(f"newest version {told['version']}; this member serves under {told['serving']} "
+              f"since {told['since_s']:g} s, {'ready' if told['ready'] else 'not ready'}")  # fmt: skip
+    for name, version in sorted(told["members"].items()):
+        out.print(f"  {name}: {version}")
+    for number, digest, by in told["versions"]:
+        out.print(f"  version {number}  {digest}  proposed by {by}")
+
+
+@app.command()
+def propose(
+    file: Annotated[Path, typer.Argument(help="A file like GW_CONFIG's; its settings count.")],
+    door: Door,
+    base: Base = None,
+) -> None:
+    """Change the settings everywhere or nowhere. The file is read by the member, on its machine."""
+    number = _status(door)["version"] if base is None else base
+    _change(door, f"policy propose {number} {file.resolve()}")
+
+
+@app.command()
+def rollback(door: Door, base: Base = None) -> None:
+    """Go back to the version before the newest, as a new version."""
+    number = _status(door)["version"] if base is None else base
+    _change(door, f"policy rollback {number}")
+
+
+def _change(door: str, call: str) -> None:
+    kind, told = _call(door, call)
+    print(told)
+    raise typer.Exit(0 if kind == "SUCCESS" else NOT_SO)
+
+
+def _status(door: str) -> dict[str, Any]:
+    kind, told = _call(door, "policy status")
+    if kind != "SUCCESS":
+        raise InputError(f"{door}: {told}")
+    answer: dict[str, Any] = json.loads(told)
+    return answer
+
+
+def _call(door: str, call: str) -> tuple[str, str]:
+    """SUCCESS or FAILURE, and what was said."""
+    try:
+        with socket.create_connection(address_of(door, "--door"), ANSWER_S) as sock:
+            sock.sendall(call.encode() + b"\n")
+            line = sock.makefile("r", encoding="utf-8").readline()
+    except ConfigError as error:
+        raise InputError(error) from None
+    except OSError as error:
+        raise InputError(f"--door: {door}: {error}") from None
+    kind, _, told = line.strip().partition(" ")
+    return kind, told
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -90,6 +90,25 @@
     return load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"}, strict=True)
 
 
+def with_policy(text: str, environ: Mapping[str, str] = os.environ) -> Config:
+    """This gateway's own file with the settings of a policy that holds for many: all but its own place among
+    them, `Position`. ConfigError names the key; plans and their order cannot change while running."""
+    try:
+        with open(environ.get("GW_CONFIG") or "", encoding="utf-8") as file:
+            raw = json.load(file)
+        told = json.loads(text)
+        check(told, text)
+        plans = [[g["Name"] for g in s["Grades"]] for s in (raw["settings"], told["settings"])]
+        if plans[0] != plans[1]:
+            raise ValueError(f"Grades must name the plans that the gateways started with, {plans[0]}")
+        raw["settings"] = told["settings"] | {"Position": raw["settings"].get("Position", 0)}
+        return _config(raw, environ)
+    except KeyError as error:
+        raise ConfigError(f"policy: key {error.args[0]} is missing") from None
+    except (OSError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise ConfigError(f"policy: {error}") from None
+
+
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     conf = raw["settings"]
     caps, limits = conf.get("Caps") or {}, raw.get("limits") or {}
--- /dev/null
+++ b/stackrouter/coord/calls.py
@@ -0,0 +1,99 @@
+"""The operators' door, part `policy`: what it answers to `policy status`, `propose BASE FILE`, `rollback
+BASE`.
+
+A change is checked here, by the same rules as a file at SIGHUP, before anybody else hears of it. BASE is the
+newest version that the caller knows of: if another change came first, the call is refused and changes
+nothing.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from pathlib import Path
+
+from stackrouter.config import ConfigError, with_policy
+from stackrouter.coord.ledger import MOST_BODY
+from stackrouter.coord.member import Member
+from stackrouter.coord.policy import OWN
+from stackrouter.coord.port import UNKNOWN, Propose
+
+ANSWER_S = 0.8  # the door's answer is due within 1 s
+USAGE = "policy status | policy propose BASE FILE | policy rollback BASE"
+
+
+class CallError(Exception):
+    """The call cannot be carried out; the text says why."""
+
+
+class PolicyCalls:
+    def __init__(self, member: Member, after_us: int) -> None:
+        self._member, self._after_us = member, after_us
+
+    def answer(self, call: str) -> str:
+        try:
+            match call.split(maxsplit=3):
+                case [_, "status"]:
+                    return f"SUCCESS {self._status()}"
+                case [_, "propose", base, file] if base.isdigit():
+                    return self._propose(int(base), canonical(_read(file)))
+                case [_, "rollback", base] if base.isdigit():
+                    return self._propose(int(base), self._before(int(base)))
+        except (CallError, ConfigError) as error:
+            return f"FAILURE {' '.join(str(error).split())}"
+        return f"FAILURE usage: {USAGE}"
+
+    def _status(self) -> str:
+        member, switch = self._member, self._member.switch
+        assert switch is not None
+        versions = member.store.policies()
+        now = member.clock()
+        told = {
+            "version": versions[-1].number if versions else OWN,
+            "serving": switch.serving.number,
+            "since_s": round((now - switch.since) / 1e6, 1),
+            "in_touch": switch.in_touch(now),
+            "ready": switch.ready(now),
+            "members": member.store.present(),
+            "versions": [[v.number, v.digest[:12], v.by] for v in versions],
+        }
+        return json.dumps(told, separators=(",", ":"))
+
+    def _before(self, base: int) -> str:
+        versions = {v.number: v for v in self._member.store.policies()}
+        if base not in versions:
+            raise CallError(f"version {base} is not known here")
+        if base - 1 not in versions:
+            raise CallError(f"there is no version before {base} to go back to")
+        return versions[base - 1].body
+
+    def _propose(self, base: int, body: str) -> str:
+        with_policy(body)
+        digest = hashlib.sha256(body.encode()).hexdigest()
+        command = Propose(self._member.name, base, digest, body, self._after_us)
+        why = self._member.ask_and_wait(command, ANSWER_S)
+        if why is None or why == UNKNOWN:
+            raise CallError("not known whether it was committed: see policy status")
+        if why == "base":
+            raise CallError(f"another change came first: version {base} is not the newest, see policy status")
+        if why:
+            raise CallError(f"not committed: {why}")
+        return f"SUCCESS version={base + 1} digest={digest[:12]} in force in {self._after_us / 1e6:g} s"
+
+
+def canonical(text: str) -> str:
+    """The settings alone, written in one way, so that the same settings have the same digest."""
+    try:
+        return json.dumps({"settings": json.loads(text)["settings"]}, sort_keys=True, indent=1)
+    except (ValueError, KeyError, TypeError) as error:
+        raise CallError(f"policy: key settings is missing or the file is no JSON: {error}") from None
+
+
+def _read(file: str) -> str:
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise CallError(f"{file}: {error}") from None
+    if len(text) > MOST_BODY:
+        raise CallError(f"{file}: more than {MOST_BODY} bytes")
+    return text
--- a/stackrouter/coord/drill.py
+++ b/stackrouter/coord/drill.py
@@ -3,7 +3,9 @@
 
 Between looking whether it may act and acting lies some work, as in life: a member that is stopped just then
 acts late, and the receiver has to refuse it by its token. A line is `duty token life looked_at`, the last in
-nanoseconds of the machine's own monotonic clock, whatever the member's lease clock shows.
+nanoseconds of the machine's own monotonic clock, whatever the member's lease clock shows. Where a policy is
+kept, it also says under which version a request that came now would be served: `serve version life
+looked_at digest`.
 """
 
 from __future__ import annotations
@@ -32,6 +34,7 @@
             with contextlib.suppress(OSError), socket.create_connection(self._receiver) as sock:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 while True:
+                    self._serve(sock)
                     for duty in DUTIES:
                         self._act(sock, duty)
                     gevent.sleep(self._every_s)
@@ -44,3 +47,11 @@
         looked_at = time.monotonic_ns()
         gevent.sleep(self._work_s)
         sock.sendall(f"{duty} {token} {self._member.life} {looked_at}\n".encode())
+
+    def _serve(self, sock: socket.socket) -> None:
+        switch = self._member.switch
+        if switch is None or self._member.holds_back():
+            return
+        looked_at, version = time.monotonic_ns(), switch.serving
+        digest = version.digest[:12] or "own"
+        sock.sendall(f"serve {version.number} {self._member.life} {looked_at} {digest}\n".encode())
--- a/stackrouter/coord/etcd.py
+++ b/stackrouter/coord/etcd.py
@@ -28,9 +28,13 @@
 from etcd3gw.exceptions import Etcd3Exception
 from etcd3gw.lease import Lease as StoreLease
 
-from stackrouter.coord.ledger import Listings
+from stackrouter.coord.ledger import MOST_VERSIONS, Listings
+from stackrouter.coord.policy import Version
 from stackrouter.coord.port import (
+    UNKNOWN,
     Acquire,
+    Activate,
+    ActiveSeen,
     Answered,
     Append,
     Command,
@@ -40,6 +44,9 @@
     LeaseSeen,
     ListingSeen,
     MemberView,
+    PolicySeen,
+    Present,
+    Propose,
     Publish,
     Release,
     Renew,
@@ -69,6 +76,9 @@
         self._listings = Listings()
         self._listing_revision = 0
         self._entry = 0
+        self._policies: list[Version] = []
+        self._present: dict[str, int] = {}
+        self._active, self._active_revision = 0, 0
         self._asked = 0
         self._reachable = False
         self._closing = threading.Event()
@@ -94,6 +104,12 @@
         whole = self._listings.whole()
         return None if whole is None else (self._listings.token, whole)
 
+    def policies(self) -> list[Version]:
+        return list(self._policies)
+
+    def present(self) -> dict[str, int]:
+        return dict(self._present)
+
     def members(self) -> list[MemberView]:
         return [MemberView(c.host, f"{c.host}:{c.port}", self._reachable and i == 0)
                 for i, c in enumerate(self._clients)]  # fmt: skip
@@ -125,7 +141,8 @@
                 self._reachable = False
                 self._clients.rotate(-1)
                 if number is not None:
-                    self._hear(Answered(number, False, None, f"store: {error}"))
+                    log.warning("coordination: %s", error)
+                    self._hear(Answered(number, False, None, UNKNOWN))
                 else:
                     log.warning("coordination: %s", error)
                     self._closing.wait(POLL_S)
@@ -153,6 +170,16 @@
                 return ""
             case Publish():
                 return self._publish(command)
+            case Propose():
+                return self._propose(command)
+            case Activate():
+                return self._activate(command)
+            case Present():
+                put = {"request_put": {"key": self._key(f"present/{command.member}"),
+                                       "value": _b64(str(command.serving))}}  # fmt: skip
+                self._txn([], [put])
+                self._poll()
+                return ""
             case Append():
                 return self._append(command)
 
@@ -188,6 +215,27 @@
                 return ""
         return "busy"
 
+    def _propose(self, command: Propose) -> str:
+        self._poll()
+        newest = self._policies[-1].number if self._policies else 0
+        if command.base != newest:
+            return "base"
+        key = self._key(f"policy/{newest + 1:012d}")
+        value = _b64(json.dumps([command.digest, command.body, command.after_us, command.member]))
+        taken = self._txn([_created(key, 0)], [{"request_put": {"key": key, "value": value}}])
+        self._poll()
+        return "" if taken else "base"
+
+    def _activate(self, command: Activate) -> str:
+        self._poll()
+        if not self._active < command.number <= (self._policies[-1].number if self._policies else 0):
+            return "active"
+        key = self._key("active")
+        put = {"request_put": {"key": key, "value": _b64(str(command.number))}}
+        taken = self._txn([_modified(key, self._active_revision)], [put])
+        self._poll()
+        return "" if taken else "active"
+
     def _txn(self, compare: list[dict[str, Any]], success: list[dict[str, Any]]) -> bool:
         client = self._clients[0]
         return bool(
@@ -197,6 +245,7 @@
     def _poll(self) -> dict[str, int]:
         """Read the state, say what is new; the duties' tokens."""
         leases: dict[str, Lease] = {}
+        active: ActiveSeen | None = None
         for value, about in self._clients[0].get_prefix(self._prefix):
             raw = about["key"]
             name = (raw.decode() if isinstance(raw, bytes) else raw).removeprefix(self._prefix)
@@ -210,9 +259,20 @@
                 items = {item["name"]: item for item in listing["endpoints"]}
                 self._listings = Listings(int(told["token"]), int(listing["index"]), items)
                 self._hear(ListingSeen(int(told["token"]), None, listing))
+            elif kind == "policy" and int(rest) > (self._policies[-1].number if self._policies else 0):
+                version = Version(int(rest), *json.loads(value))
+                self._policies = [*self._policies[1 - MOST_VERSIONS :], version]
+                self._hear(PolicySeen(version))
+            elif kind == "active" and int(about["mod_revision"]) != self._active_revision:
+                self._active_revision, self._active = int(about["mod_revision"]), int(value)
+                active = ActiveSeen(self._active)
+            elif kind == "present":
+                self._present[rest] = int(value)
             elif kind == "log" and int(rest) > self._entry:
                 self._entry = int(rest)
                 self._hear(EntrySeen(self._entry, *json.loads(value)))
+        if active is not None:
+            self._hear(active)  # after the version itself, which comes later in the keys' order
         for duty in self._leases.keys() - leases.keys():  # released, or not kept alive: free
             leases[duty] = Lease(duty, token=self._leases[duty].token)
         changed = [lease for duty, lease in leases.items() if self._leases.get(duty) != lease]
--- a/stackrouter/coord/join.py
+++ b/stackrouter/coord/join.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 
 from stackrouter.config import ConfigError, address_of
 from stackrouter.coord.lease import Timing
 from stackrouter.coord.member import Member, boottime_us
+from stackrouter.coord.policy import Rules
 from stackrouter.coord.port import Coordination as Store
 from stackrouter.core.counters import Counters
 from stackrouter.edge.config import Coordination
@@ -27,7 +29,8 @@
     return Timing(ttl_us, drift_us, renew_us, min(renew_us, 1_000_000), stagger_us)
 
 
-def join(conf: Coordination, name: str, discovery: Discovery, counters: Counters) -> Member:
+def join(conf: Coordination, name: str, discovery: Discovery, counters: Counters,
+         take_policy: Callable[[str], None]) -> Member:  # fmt: skip
     """ConfigError: this gateway is not among the peers, or the journal's folder cannot be written."""
     name = conf.member or name
     names = [peer.name for peer in conf.peer]
@@ -39,6 +42,10 @@
     member = Member(name, store(conf, position), timing(conf, position, len(names)), conf.stale_ms * 1000,
                     counters, clock=clock)  # fmt: skip
     member.join(discovery)
+    if conf.policy.enabled:
+        touch_us = conf.policy.touch_ms * 1000
+        rules = Rules(touch_us, touch_us * conf.max_drift_ms // conf.ttl_ms, conf.policy.on_loss == "refuse")
+        member.keep_policy(rules, take_policy)
     member.start()
     if conf.drill is not None:
         from stackrouter.coord.drill import Drill
--- a/stackrouter/coord/ledger.py
+++ b/stackrouter/coord/ledger.py
@@ -11,9 +11,12 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from stackrouter.coord.policy import Version
 from stackrouter.coord.port import (
     NOBODY,
     Acquire,
+    Activate,
+    ActiveSeen,
     Append,
     Command,
     EntrySeen,
@@ -21,6 +24,9 @@
     Lease,
     LeaseSeen,
     ListingSeen,
+    PolicySeen,
+    Present,
+    Propose,
     Publish,
     Release,
     Renew,
@@ -29,6 +35,9 @@
 MOST_DUTIES = 64  # a peer that makes up duties must not fill the memory
 MOST_ENTRIES = 1024  # of the log, the latest stay
 MOST_NODES = 20_000
+MOST_VERSIONS = 8  # of the policy, the newest stay: for members that come back, and to go back to
+MOST_BODY = 256 * 1024
+MOST_MEMBERS = 64
 
 
 @dataclass(slots=True)
@@ -74,6 +83,9 @@
     listings: Listings = field(default_factory=Listings)
     entries: deque[EntrySeen] = field(default_factory=lambda: deque(maxlen=MOST_ENTRIES))
     index: int = 0  # of the last entry of the log
+    policies: list[Version] = field(default_factory=list)  # the newest last
+    active: int = 0  # the newest version that holds
+    present: dict[str, int] = field(default_factory=dict)  # by member, the version it serves under
 
     def apply(self, command: Command) -> tuple[str, list[Event]]:
         """Why it was refused (empty: it took hold), and what there is to see."""
@@ -84,12 +96,37 @@
                 return self._keep(command)
             case Publish():
                 return self._publish(command)
+            case Propose():
+                return self._propose(command)
+            case Activate():
+                if not self.active < command.number <= self.version():
+                    return "active", []  # another member asked first
+                self.active = command.number
+                return "", [ActiveSeen(command.number)]
+            case Present():
+                if command.member not in self.present and len(self.present) >= MOST_MEMBERS:
+                    return "size", []
+                self.present[command.member] = command.serving
+                return "", []
             case Append():
                 self.index += 1
                 entry = EntrySeen(self.index, command.kind, command.member, command.body)
                 self.entries.append(entry)
                 return "", [entry]
 
+    def version(self) -> int:
+        """The number of the newest version; 0: none was committed."""
+        return self.policies[-1].number if self.policies else 0
+
+    def _propose(self, command: Propose) -> tuple[str, list[Event]]:
+        if command.base != self.version():
+            return "base", []  # another change came first: whoever proposes has to look at it
+        if len(command.body) > MOST_BODY:
+            return "size", []
+        version = Version(command.base + 1, command.digest, command.body, command.after_us, command.member)
+        self.policies = [*self.policies[1 - MOST_VERSIONS :], version]
+        return "", [PolicySeen(version)]
+
     def lease(self, duty: str) -> Lease:
         return self.leases.get(duty) or Lease(duty)
 
--- a/stackrouter/coord/member.py
+++ b/stackrouter/coord/member.py
@@ -11,14 +11,22 @@
 from typing import Any
 
 import gevent
+from gevent.event import AsyncResult
 from gevent.event import Event as Flag
 
+from stackrouter.config import ConfigError
 from stackrouter.coord.lease import Action, Ask, Begin, End, LeaseKeeper, Timing
+from stackrouter.coord.policy import Rules, Switch
 from stackrouter.coord.port import (
+    Activate,
+    ActiveSeen,
     Answered,
+    Command,
     Coordination,
     LeaseSeen,
     ListingSeen,
+    PolicySeen,
+    Present,
     Publish,
     Release,
     TermSeen,
@@ -50,6 +58,9 @@
         self.keepers = {d: LeaseKeeper(d, self.life, timing, now, store.store_expires) for d in DUTIES}
         self.follower = Follower(stale_us)
         self.term = TermSeen(0, "")
+        self.switch: Switch | None = None  # None: each member serves under its own file
+        self._take_policy: Callable[[str], None] = lambda text: None
+        self._waiting: dict[int, AsyncResult[str]] = {}  # by number, who waits for an answer
         self._discovery: Discovery | None = None
         self._published = -1  # number of the last publish, for its refusal
         self._due = Flag()
@@ -66,6 +77,31 @@
         self._discovery = discovery
         discovery.fleet = self
 
+    def keep_policy(self, rules: Rules, take: Callable[[str], None]) -> None:
+        """Serve under the fleet's policy. `take` makes a version's settings hold here, or raises."""
+        self.switch, self._take_policy = Switch(rules), take
+
+    def holds_back(self) -> bool:
+        """Whether no new request may be taken now: this member cannot know what policy is in force."""
+        return self.switch is not None and not self.switch.serves(self.clock())
+
+    def not_ready(self) -> str:
+        """Why this member's door may not say yes; empty: it may."""
+        if self.switch is None or self.switch.ready(self.clock()):
+            return ""
+        failed = self.switch.failed
+        return f"policy {failed} cannot be taken here" if failed else "out of touch with the fleet"
+
+    def ask_and_wait(self, command: Command, within_s: float) -> str | None:
+        """Why a command was refused; empty: it took hold; None: not known within this time."""
+        waiting = self._waiting[self.store.ask(command)] = AsyncResult()
+        try:
+            return waiting.get(timeout=within_s)
+        except gevent.Timeout:
+            return None
+        finally:
+            self._waiting = {n: w for n, w in self._waiting.items() if w is not waiting}
+
     def acting(self, duty: str) -> int | None:
         """The token to act under now, None: do not. To be asked right before each action of the duty."""
         return self.keepers[duty].acting(self.clock())
@@ -109,11 +145,14 @@
                     self._heard(event)
                 for keeper in self.keepers.values():
                     self._do(keeper, keeper.tick(self.clock()))
+                if self.switch is not None:
+                    self._steer(self.switch)
             except Exception:  # coordination must never end the gateway: without it, it serves as it did
                 self.counters.add("errors.coord")
                 log.exception("coordination")
                 gevent.sleep(0.1)
             times = [at for k in self.keepers.values() if (at := k.next_at()) is not None]
+            times += [self.switch.next_at()] if self.switch is not None else []
             left = (min(times) - self.clock()) / 1e6 if times else LONGEST_WAIT_S
             self._due.wait(min(LONGEST_WAIT_S, max(0.001, left)))
 
@@ -125,6 +164,17 @@
                     self._refused(event.why)
                 for keeper in self.keepers.values():
                     self._do(keeper, keeper.answered(event, now))
+                if self.switch is not None:
+                    self.switch.answered(event.number, event.accepted, now)
+                if (waiting := self._waiting.get(event.number)) is not None:
+                    waiting.set(event.why)
+            case ActiveSeen() if self.switch is not None:
+                self.switch.activated(event.number)
+            case PolicySeen() if self.switch is not None:
+                version = event.version
+                log.info("policy.committed version=%d digest=%s by=%s", version.number, version.digest[:12],
+                         version.by)  # fmt: skip
+                self.switch.saw(version, now)
             case LeaseSeen() if event.lease.duty in self.keepers:
                 keeper = self.keepers[event.lease.duty]
                 self._do(keeper, keeper.saw(event.lease, now))
@@ -135,6 +185,29 @@
                 self.counters.add("coord.terms")
                 log.info("coord.term term=%d leader=%s", event.term, event.leader or "nobody")
 
+    def _steer(self, switch: Switch) -> None:
+        """Say that this member is here, and take the version whose time has come."""
+        now = self.clock()
+        if switch.asks(now):
+            switch.numbered(self.store.ask(Present(self.name, switch.serving.number)), now)
+        if (number := switch.activates(now)) is not None:
+            self.store.ask(Activate(self.name, number))
+        if (version := switch.due()) is None:
+            return
+        try:
+            self._take_policy(version.body)
+        except (
+            ConfigError,
+            ValueError,
+        ) as error:  # what was checked where it was proposed may still not fit here
+            self.counters.add("policy.failed")
+            log.error("policy.failed version=%d: %s", version.number, error)
+            switch.took(version, now, False)
+            return
+        self.counters.add("policy.taken")
+        log.info("policy.taken version=%d digest=%s", version.number, version.digest[:12])
+        switch.took(version, now, True)
+
     def _listed(self, now: int, event: ListingSeen) -> None:
         if self._discovery is None or self.acting(WATCH) == event.token:
             return  # our own
--- a/stackrouter/coord/port.py
+++ b/stackrouter/coord/port.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from stackrouter.coord.policy import Version
+
 NOBODY = ""
+UNKNOWN = (
+    "unknown"  # why of an answer that says nothing: the leader changed, and the command may have taken hold
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +78,34 @@
     body: str
 
 
-Command = Acquire | Renew | Release | Publish | Append
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """Make this the next version of the policy, if `base` is the newest there is."""
+
+    member: str
+    base: int
+    digest: str
+    body: str
+    after_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Activate:
+    """The version's delay is over by this member's clock: it holds from this entry on."""
+
+    member: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Present:
+    """This member is here and serves under this version. Its answer says that the group still hears it."""
+
+    member: str
+    serving: int
+
+
+Command = Acquire | Renew | Release | Publish | Append | Propose | Activate | Present
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +148,21 @@
     leader: str
 
 
-Event = Answered | LeaseSeen | ListingSeen | EntrySeen | TermSeen
+@dataclass(frozen=True, slots=True)
+class PolicySeen:
+    """A version was committed."""
+
+    version: Version
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveSeen:
+    """A version was activated."""
+
+    number: int
+
+
+Event = PolicySeen | ActiveSeen | Answered | LeaseSeen | ListingSeen | EntrySeen | TermSeen
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +190,12 @@
     def listing(self) -> tuple[int, dict[str, Any]] | None:
         """Token and whole list of storage nodes as last published; None: none was."""
 
+    def policies(self) -> list[Version]:
+        """The newest committed versions, oldest first."""
+
+    def present(self) -> dict[str, int]:
+        """By member, the version that it said it serves under last."""
+
     def members(self) -> list[MemberView]: ...
 
     def close(self) -> None: ...
--- a/stackrouter/coord/raft.py
+++ b/stackrouter/coord/raft.py
@@ -32,7 +32,19 @@
 from pysyncobj.transport import TCPTransport
 
 from stackrouter.coord.ledger import Ledger
-from stackrouter.coord.port import NOBODY, Answered, Command, Event, LeaseSeen, MemberView, TermSeen
+from stackrouter.coord.policy import Version
+from stackrouter.coord.port import (
+    NOBODY,
+    UNKNOWN,
+    ActiveSeen,
+    Answered,
+    Command,
+    Event,
+    LeaseSeen,
+    MemberView,
+    PolicySeen,
+    TermSeen,
+)
 
 log = logging.getLogger(__name__)
 
@@ -40,7 +52,7 @@
 # into the same one split the vote.
 TICKS = 30
 BIND_S = 0.5  # between attempts to take the address: at an upgrade the old process still has it
-HEARTBEATS = 12  # in an election timeout
+HEARTBEATS = 16  # in an election timeout
 # Heartbeats that every member waits for at least (the library asks for more than three). Timeouts are drawn
 # from there on: the wider they lie apart, the fewer elections end with a split vote.
 SHORTEST = 3.2
@@ -49,8 +61,7 @@
 MOST_QUEUED = 1000
 MOST_EVENTS = 10_000  # not yet fetched by the gateway: past it the oldest go, and are counted
 WHY = {FAIL_REASON.QUEUE_FULL: "queue full", FAIL_REASON.MISSING_LEADER: "no leader",
-       FAIL_REASON.DISCARDED: "discarded", FAIL_REASON.NOT_LEADER: "leader changed",
-       FAIL_REASON.LEADER_CHANGED: "leader changed"}  # fmt: skip
+       FAIL_REASON.DISCARDED: "discarded"}  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +107,9 @@
         self._applied = applied  # set before the library notes which attributes are not replicated
         super().__init__(node, others, conf, transportClass=_Transport)
         self.ledger = Ledger()  # ... and this after: it goes into snapshots
+        # A member that starts listens for a leader first: standing for election before it has been reached by
+        # the one there is would depose that one, for the library asks for no vote beforehand.
+        self._SyncObj__raftElectionDeadline += conf.raftMaxTimeout
 
     @replicated  # type: ignore[misc]
     def commit(self, command: Command) -> tuple[str, Any]:
@@ -161,6 +175,12 @@
         whole = ledger.listings.whole()
         return None if whole is None else (ledger.listings.token, whole)
 
+    def policies(self) -> list[Version]:
+        return list(self._group.ledger.policies) if self._group is not None else []
+
+    def present(self) -> dict[str, int]:
+        return dict(self._group.ledger.present) if self._group is not None else {}
+
     def members(self) -> list[MemberView]:
         group = self._group
         up = {node.id for node in group.otherNodes if group.isNodeConnected(node)} if group else set()
@@ -178,7 +198,7 @@
 
     def _answer(self, number: int, result: tuple[str, Any] | None, failure: int) -> None:
         if failure != FAIL_REASON.SUCCESS or result is None:
-            self._hear([Answered(number, False, None, WHY.get(failure, "unknown"))])
+            self._hear([Answered(number, False, None, WHY.get(failure, UNKNOWN))])
         else:
             why, lease = result
             self._hear([Answered(number, not why, lease, why)])
@@ -193,7 +213,10 @@
                 loaded = self._group.ledger
                 self._group.doTick(self._tick_s)
                 if self._group.ledger is not loaded:  # a snapshot came in the place of its commands
-                    self._hear([LeaseSeen(lease) for lease in self._group.ledger.leases.values()])
+                    ledger = self._group.ledger
+                    self._hear([LeaseSeen(lease) for lease in ledger.leases.values()])
+                    self._hear([PolicySeen(version) for version in ledger.policies])
+                    self._hear([ActiveSeen(ledger.active)])
                 self._look()
             except Exception:  # a peer that sends what cannot be read must not end the member
                 log.exception("coordination")
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -68,6 +68,8 @@
         self.tap: facts.Tap | None = None  # None: nobody reads, nothing is made
         self.transport: Transport | None = None
         self.fetch_list: Callable[[], None] = lambda: None
+        # Asked with each new request: whether none may be taken now. None: nobody asks for that.
+        self.held: Callable[[], bool] | None = None
         self.controller = Controller(settings)
         self.requests: dict[str, Request] = {}
         self.nodes: dict[str, Node] = {}
@@ -191,7 +193,7 @@
                 self._now, self._made, r.request_class, r.plan, r.volume, r.units, r.shard, r.gateways,
                 r.deadline_us, r.repeat, r.write,
             ))  # fmt: skip
-        if len(self.requests) >= self.max_open:
+        if len(self.requests) >= self.max_open or (self.held is not None and self.held()):
             self.counters.add("requests.over_max_open")
             pause = min(min(c.aim_us for c in self.settings.classes), self.settings.retry_after_most_us)
             self._answer(r, Result(Verdict.REFUSED, pause_us=pause))
--- a/stackrouter/edge/config.py
+++ b/stackrouter/edge/config.py
@@ -72,6 +72,14 @@
     clock_ppm: Annotated[int, Ge(-900_000), Le(900_000)] = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Policy:
+    enabled: bool = False
+    touch_ms: Annotated[int, Ge(100), Le(600_000)] = 2000
+    after_ms: Annotated[int, Ge(100), Le(600_000)] = 3000
+    on_loss: Literal["refuse", "serve"] = "refuse"
+
+
 @dataclass(frozen=True, slots=True)
 class Coordination:
     enabled: bool = False
@@ -85,10 +93,14 @@
     max_drift_ms: Annotated[int, Ge(0), Le(600_000)] = 300
     election_ms: Annotated[int, Ge(50), Le(60_000)] = 800
     stale_ms: Annotated[int, Ge(100), Le(600_000)] = 5000
+    policy: Policy = field(default_factory=Policy)
     drill: Drill | None = None
 
     def problem(self) -> str | None:
         """What the fields say together that cannot be: the field's name and what is allowed."""
+        touch_ms = self.policy.touch_ms
+        if self.policy.enabled and self.policy.after_ms <= touch_ms:
+            return f"policy.after_ms: must be more than policy.touch_ms ({touch_ms})"
         names = [peer.name for peer in self.peer]
         addresses = [peer.address for peer in self.peer]
         if self.max_drift_ms * 2 >= self.ttl_ms:
--- a/stackrouter/edge/wiring.py
+++ b/stackrouter/edge/wiring.py
@@ -5,6 +5,7 @@
 import logging
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
 
 if TYPE_CHECKING:
     from stackrouter.accounts.live import Live
+    from stackrouter.coord.calls import PolicyCalls
     from stackrouter.coord.member import Member
     from stackrouter.core.counters import Counters
     from stackrouter.net.discovery import Discovery
@@ -44,6 +46,7 @@
         self.live: Live | None = None
         self.recorder: Recorder | None = None
         self.member: Member | None = None
+        self.calls: PolicyCalls | None = None
         self._due = Event()  # a block's worth of facts waits to be written
         try:
             if self.edge.log.format != "plain":
@@ -70,16 +73,36 @@
             file.open("ab").close()  # OSError at the start, not once the engine runs
             self.recorder = Recorder(Sink(file, header, edge.trace.most_mb << 20, edge.trace.keep))
 
-    def coordinate(self, discovery: Discovery, counters: Counters) -> None:
+    def coordinate(self, discovery: Discovery, counters: Counters, engine: Engine,
+                   take_policy: Callable[[str], None]) -> None:  # fmt: skip
         """Join the other gateways. ConfigError: this one is not among the peers, or a library is missing."""
         if not self.edge.coordination.enabled:
             return
         try:
+            from stackrouter.coord.calls import PolicyCalls
             from stackrouter.coord.join import join
         except ImportError as error:
             raise ConfigError(f"coordination: needs {error.name}: install stackrouter[coord]") from None
 
-        self.member = join(self.edge.coordination, self.config.name, discovery, counters)
+        conf = self.edge.coordination
+        self.member = join(conf, self.config.name, discovery, counters, take_policy)
+        if self.member.switch is not None:
+            self.calls = PolicyCalls(self.member, conf.policy.after_ms * 1000)
+            engine.held = self.member.holds_back
+
+    def policy_in_force(self) -> bool:
+        switch = self.member.switch if self.member is not None else None
+        return switch is not None and switch.serving.number > 0
+
+    def not_ready(self) -> str:
+        """Why the door may not say yes; empty: it may."""
+        return self.member.not_ready() if self.member is not None else ""
+
+    def policy_call(self, call: str) -> str:
+        """The door's answer to `policy ...`."""
+        return (
+            self.calls.answer(call) if self.calls is not None else "FAILURE no policy of a fleet is kept here"
+        )
 
     def leave(self) -> None:
         """This gateway stops: its duties are given back at once, so that nobody waits for them to lapse."""
--- a/stackrouter/fleet/check.py
+++ b/stackrouter/fleet/check.py
@@ -109,6 +109,56 @@
     return found, unfinished
 
 
+@dataclass(frozen=True, slots=True)
+class Served:
+    """A member would have served a request under this version then."""
+
+    at: int
+    version: int
+    digest: str
+    life: str
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyVerdict:
+    """`splits_ms`: by committed version, from the first member that served under it to the last time that any
+    served under an older one; `spread_ms`: to the last member's first time under it, of those that came to
+    it; `twins`: versions that two members hold with different content."""
+
+    uncommitted_served: int
+    splits_ms: tuple[float, ...]
+    spreads_ms: tuple[float, ...]
+    twins: int
+    samples: int
+
+
+def check_policy(samples: Sequence[Served], ledgers: Sequence[Sequence[tuple[int, str]]]) -> PolicyVerdict:
+    """`ledgers`: the committed versions and digests, as each member told them whenever it was asked."""
+    committed: dict[int, str] = {}
+    twins: set[int] = set()
+    for ledger in ledgers:
+        for number, digest in ledger:
+            if committed.setdefault(number, digest) != digest:
+                twins.add(number)
+    ordered = sorted(samples, key=lambda s: s.at)
+    wrong = sum(s.version > 0 and committed.get(s.version) != s.digest for s in ordered)
+    splits, spreads = [], []
+    for number in sorted(committed):
+        first = next((s.at for s in ordered if s.version >= number), None)
+        if first is None:
+            continue
+        older = [s.at for s in ordered if s.at > first and s.version < number]
+        splits.append((max(older) - first) / 1e6 if older else 0.0)
+        came: dict[str, int] = {}
+        for s in ordered:
+            if s.version >= number:
+                came.setdefault(s.life, s.at)
+        served_before = {s.life for s in ordered if s.at < first}
+        late = [at - first for life, at in came.items() if life in served_before]
+        spreads.append(max(late, default=0) / 1e6)
+    return PolicyVerdict(wrong, tuple(splits), tuple(spreads), len(twins), len(ordered))
+
+
 def percentile(values: Sequence[float], part: float) -> float | None:
     """The value that `part` of them do not exceed; None of none."""
     ordered = sorted(values)
--- a/stackrouter/fleet/rig.py
+++ b/stackrouter/fleet/rig.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,17 +21,46 @@
 
 from stackrouter.coord.fence import Fence
 from stackrouter.coord.member import DUTIES
-from stackrouter.fleet.check import Action, Fault, Verdict, check
+from stackrouter.fleet.check import Action, Fault, PolicyVerdict, Served, Verdict, check, check_policy
 from stackrouter.fleet.proxy import Link, Way
-from stackrouter.fleet.schedule import Schedule, Step, draw
+from stackrouter.fleet.schedule import Change, Schedule, Step, draw, draw_changes
+from stackrouter.standins.clients import StandinClients
 from stackrouter.standins.discovery import StandinDiscovery, entry
-from stackrouter.standins.fleet import Scene, StartError, free_port, settings
+from stackrouter.standins.fleet import Scene, StartError, habits, settings
+from stackrouter.standins.node import Nature, StandinNode
 
 START_S = 20.0
 SETTLE_S = 8.0  # for the first holders, and at the end for whoever has to take over
 STOP_S = 6.0
+CALL_S = 1.5
 LONGEST_LINE = 256
 NODES = 6
+FIRST_PORT, SLOT, SLOTS = 12_000, 100, 200
+
+
+class Ports:
+    """Ports below those that the system gives to outgoing connections, for this rig alone: a member that is
+    started again finds its own free. A rig holds a run of them by listening on the first."""
+
+    def __init__(self) -> None:
+        for nth in range(SLOTS):
+            first = FIRST_PORT + (os.getpid() + nth) % SLOTS * SLOT
+            self._claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                self._claim.bind(("127.0.0.1", first))
+                self._claim.listen(1)
+            except OSError:
+                self._claim.close()
+                continue
+            self._left = iter(range(first + 1, first + SLOT))
+            return
+        raise StartError("no ports are left for another rig")
+
+    def take(self) -> int:
+        return next(self._left)
+
+    def close(self) -> None:
+        self._claim.close()
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,10 +69,14 @@
     seed: int = 1
     seconds: float = 6.0
     kinds: Sequence[str] = ()
-    ttl_ms: int = 1000
-    drift_ms: int = 100
-    election_ms: int = 600
+    ttl_ms: int = 800
+    drift_ms: int = 80
+    election_ms: int = 400
     work_ms: int = 8  # between a member's look at its lease and its action
+    policy: bool = False  # keep a policy, change it, and note who serves under which version
+    touch_ms: int = 1000
+    after_ms: int = 1500
+    load: float = 0.0  # clients that ask for this part of what the stand-in nodes bear
     fenced: bool = True  # False plants a fault: the receiver takes whatever comes
 
 
@@ -61,6 +95,7 @@
     def __init__(self, fenced: bool) -> None:
         self._fence, self._fenced = Fence(), fenced
         self.actions: list[Action] = []
+        self.served: list[Served] = []
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
         self.address = f"127.0.0.1:{self._server.server_port}"
@@ -75,7 +110,9 @@
     def _serve(self, sock: socket.socket, _: object) -> None:
         for line in sock.makefile("r", encoding="ascii", errors="replace"):
             words = line[:LONGEST_LINE].split()
-            if len(words) == 4 and words[1].isdigit() and words[3].isdigit():
+            if len(words) == 5 and words[0] == "serve" and words[1].isdigit() and words[3].isdigit():
+                self.served.append(Served(int(words[3]), int(words[1]), words[4], words[2]))
+            elif len(words) == 4 and words[1].isdigit() and words[3].isdigit():
                 duty, token = words[0], int(words[1])
                 accepted = self._fence.admit(duty, token) or not self._fenced
                 self.actions.append(
@@ -91,12 +128,19 @@
         self.names = [f"g{i + 1}" for i in range(setup.members)]
         self.schedule = self._draw(setup.seed)
         self.clock_ppm, self.late = self.schedule.clock_ppm, self.schedule.late
+        self.ports_left = Ports()
         self.receiver = Receiver(setup.fenced)
-        nodes = [entry(f"s-{i + 1}", f"127.0.0.1:{9 + i}", i, "hall-a", "std") for i in range(NODES)]
-        self.discovery = StandinDiscovery(nodes)
+        self.scene = Scene(setup.members, NODES, setup.seed, setup.load or 0.1, "none")
+        self.usual, self.habits, _ = habits(self.scene)
+        sized = {h.volume: self.usual * (2 if h.plan == "priority" else 1) for h in self.habits}
+        self.nodes = [StandinNode(f"s-{i + 1}", i, Nature(), setup.seed, sized) for i in range(NODES)]
+        self.discovery = StandinDiscovery(
+            [entry(n.name, n.address, n.shard, "hall-a", "std") for n in self.nodes]
+        )
+        self.clients: StandinClients | None = None
         self.rng = Random(setup.seed)
-        self.addresses = [f"127.0.0.1:{free_port()}" for _ in self.names]
-        self.ports = [free_port() for _ in self.names]
+        self.addresses = [f"127.0.0.1:{self.ports_left.take()}" for _ in self.names]
+        self.ports = [self.ports_left.take() for _ in self.names]
         self.links: dict[tuple[int, int], Link] = {}
         for i in range(setup.members):
             for j in range(setup.members):
@@ -105,11 +149,16 @@
                     host, _, port = self.addresses[j].rpartition(":")
                     self.links[i, j] = Link((host, int(port)), self.rng)
         self.programs: dict[int, subprocess.Popen[bytes]] = {}
+        self.doors = [self.ports_left.take() for _ in self.names]
+        self.changes: Counter[str] = Counter()  # by how they ended
+        self.disagreed = 0  # rounds at whose end the members did not come to the newest version, all of them
+        self.ledgers: list[list[tuple[int, str]]] = []
         self.faults: list[Fault] = []
         self.exits: list[int] = []
         self.load = Load()
         self._born: dict[int, float] = {}
         self._down: set[int] = set()
+        self._variants = 0
 
     def __enter__(self) -> Rig:
         try:
@@ -126,6 +175,8 @@
         return self
 
     def __exit__(self, *_: object) -> None:
+        if self.clients is not None:
+            self.clients.stop()
         for program in self.programs.values():
             program.send_signal(signal.SIGCONT)
             program.send_signal(signal.SIGTERM)
@@ -139,16 +190,25 @@
         for link in self.links.values():
             link.close()
         self.receiver.close()
+        self.ports_left.close()
         self.discovery.stop()
+        for node in self.nodes:
+            node.stop()
 
     def run(self, rounds: int = 1) -> Verdict:
         """Do what the schedule says and let the fleet settle, then what the next seed's says; check the
         history."""
         began = time.monotonic()
+        if self.setup.load:
+            if self.setup.policy:
+                self._await(self._agreed, SETTLE_S, "the members are not in touch")
+            self.clients = StandinClients(
+                self.habits, [("127.0.0.1", p) for p in self.ports], self.setup.seed
+            )
         for nth in range(rounds):
             if nth:
                 self.schedule = self._draw(self.setup.seed + nth)
-            self._play()
+            self._play(self.setup.seed + nth)
         self.took_s = time.monotonic() - began
         return check(self.receiver.actions, self.faults)
 
@@ -157,8 +217,14 @@
         return draw(seed, setup.members, setup.kinds, setup.seconds, setup.ttl_ms * 1000,
                     setup.drift_ms * 1000, DUTIES)  # fmt: skip
 
-    def _play(self) -> None:
-        steps = [gevent.spawn_later(step.at_us / 1e6, self._do, step) for step in self.schedule.steps]
+    def _play(self, seed: int) -> None:
+        steps: list[gevent.Greenlet[..., None]] = [
+            gevent.spawn_later(step.at_us / 1e6, self._do, step) for step in self.schedule.steps
+        ]
+        if self.setup.policy:
+            setup = self.setup
+            drawn = draw_changes(seed, setup.members, setup.seconds, setup.ttl_ms * 1000, bool(setup.kinds))
+            steps += [gevent.spawn_later(change.at_us / 1e6, self._change, change) for change in drawn]
         gevent.sleep(self.setup.seconds)
         gevent.joinall(steps, raise_error=True)
         for i, program in self.programs.items():
@@ -170,20 +236,22 @@
                        for duty in DUTIES)  # fmt: skip
 
         self._await(settled, SETTLE_S, "the duties were not taken up again after the faults", fatal=False)
+        if self.setup.policy:
+            self.disagreed += not self._await(self._agreed, SETTLE_S, "no agreement", fatal=False)
 
     # Faults.
 
     def _do(self, step: Step) -> None:
         i = self._find(step.target)
+        if step.kind == "join" and self.late is not None:
+            self._start(self.late)
+            self.late = None
         if i is None or i not in self.programs or i in self._down:
             return
         for_s, at = step.for_us / 1e6, time.monotonic_ns()
         match step.kind:
             case "stall" | "join":
                 self._stop(i, signal.SIGSTOP)
-                if step.kind == "join" and self.late is not None:
-                    self._start(self.late)
-                    self.late = None
                 gevent.sleep(for_s)
                 self._stop(i, signal.SIGCONT)
             case "kill":
@@ -201,6 +269,80 @@
         kind = "stall" if step.kind == "join" else step.kind
         self.faults.append(Fault(at, time.monotonic_ns(), kind, self.names[i]))
 
+    # Changes of policy.
+
+    def _change(self, change: Change) -> None:
+        i = change.member
+        if i in self._down or i not in self.programs:
+            return
+        told = self._status(i)
+        if told is None:
+            self.changes["unasked"] += 1
+            return
+        base = told["version"]
+        call = (
+            f"policy rollback {base}"
+            if change.kind == "rollback"
+            else f"policy propose {base} {self._variant()}"
+        )
+        match change.kind:
+            case "kill":
+                ask = gevent.spawn(self._call, i, call)
+                gevent.sleep(change.after_us / 1e6)
+                self._do(Step(0, "kill", str(i), 500_000))
+                self._ended(ask.get())
+            case "cut":
+                cut = gevent.spawn(self._do, Step(0, "partition", str(i), change.after_us))
+                gevent.sleep(0.01)
+                self._ended(self._call(i, call))
+                cut.join()
+            case "race":
+                other = gevent.spawn(self._call, change.other, f"policy propose {base} {self._variant()}")
+                self._ended(self._call(i, call))
+                self._ended(other.get())
+            case _:
+                self._ended(self._call(i, call))
+
+    def _ended(self, answer: str) -> None:
+        kinds = {"SUCCESS": "committed", "FAILURE another": "overtaken", "FAILURE not known": "unknown"}
+        self.changes[
+            next((kind for start, kind in kinds.items() if answer.startswith(start)), "refused")
+        ] += 1
+
+    def _variant(self) -> Path:
+        """A file of settings that differs from all before."""
+        self._variants += 1
+        told = json.loads((self.folder / f"{self.names[0]}.json").read_text())["settings"]
+        told["Caps"]["MaxAttempts"] = 1 + self._variants % 5
+        told["Caps"]["MaxOpen"] = 4000 + self._variants
+        file = self.folder / f"policy-{self._variants}.json"
+        file.write_text(json.dumps({"settings": told}))
+        return file
+
+    def _call(self, i: int, line: str) -> str:
+        try:
+            with socket.create_connection(("127.0.0.1", self.doors[i]), timeout=CALL_S) as sock:
+                sock.sendall(line.encode() + b"\n")
+                return str(sock.makefile("r", encoding="utf-8").readline())
+        except OSError:
+            return ""
+
+    def _status(self, i: int) -> dict[str, Any] | None:
+        answer = self._call(i, "policy status")
+        if not answer.startswith("SUCCESS {"):
+            return None
+        told: dict[str, Any] = json.loads(answer.partition(" ")[2])
+        self.ledgers.append([(number, digest) for number, digest, _ in told["versions"]])
+        return told
+
+    def _agreed(self) -> bool:
+        told = [self._status(i) for i in self.programs]
+        versions = {(t["version"], t["serving"], t["ready"]) for t in told if t is not None}
+        return None not in told and len(versions) == 1 and all(v == s and r for v, s, r in versions)
+
+    def policy(self) -> PolicyVerdict:
+        return check_policy(self.receiver.served, self.ledgers)
+
     def _stop(self, i: int, number: signal.Signals) -> None:
         if self.programs[i].poll() is None:
             self.programs[i].send_signal(number)
@@ -243,14 +385,15 @@
         config = {
             "name": name, "listen": f"127.0.0.1:{self.ports[i]}", "discovery": self.discovery.address,
             "seed": f"{setup.seed * 64 + i:x}", "limits": {"memory_mb": 192, "sockets": 1024},
-            "known": self.discovery.listing(),
-            "settings": {**settings(Scene(setup.members, NODES), 50.0), "Position": i},
+            "known": self.discovery.listing(), "admin": f"127.0.0.1:{self.doors[i]}",
+            "settings": {**settings(self.scene, self.usual), "Position": i},
         }  # fmt: skip
         (self.folder / f"{name}.json").write_text(json.dumps(config))
         peers = "".join(self._peer(i, j) for j in range(setup.members))
         (self.folder / f"{name}.txtpb").write_text(
             f"""coordination {{ enabled: true folder: "{self.folder}" ttl_ms: {setup.ttl_ms}
   max_drift_ms: {setup.drift_ms} election_ms: {setup.election_ms}
+  policy {{ enabled: {str(setup.policy).lower()} touch_ms: {setup.touch_ms} after_ms: {setup.after_ms} }}
 {peers}  drill {{ receiver: "{self.receiver.address}" work_ms: {setup.work_ms}
     clock_ppm: {self.clock_ppm[i]} }} }}
 """
@@ -274,7 +417,8 @@
                                                 start_new_session=True)  # fmt: skip
         self._born[i] = time.monotonic()
 
-    def _await(self, so: Any, within_s: float, otherwise: str, fatal: bool = True) -> None:
+    def _await(self, so: Any, within_s: float, otherwise: str, fatal: bool = True) -> bool:
+        """Whether it came so in time; StartError if it is fatal that it did not."""
         until = time.monotonic() + within_s
         while not so():
             for i, program in self.programs.items():
@@ -284,8 +428,9 @@
             if time.monotonic() > until:
                 if fatal:
                     raise StartError(otherwise)
-                return
+                return False
             gevent.sleep(0.02)
+        return True
 
     def _measure(self, i: int, program: subprocess.Popen[bytes]) -> None:
         try:
--- a/stackrouter/fleet/schedule.py
+++ b/stackrouter/fleet/schedule.py
@@ -34,6 +34,39 @@
     for_us: int
 
 
+# How a change of policy is made.
+CHANGES = {
+    "propose": 4,  # through one member's door
+    "rollback": 2,
+    "race": 2,  # through two doors at once, on the same base
+    "kill": 2,  # whoever is asked to propose is killed a moment later
+    "cut": 2,  # whoever is asked is cut off from all others, and back later
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    at_us: int
+    kind: str
+    member: int
+    other: int
+    after_us: int  # kill: how long after the ask; cut: how long it lasts
+
+
+def draw_changes(seed: int, members: int, seconds: float, ttl_us: int, faults: bool) -> tuple[Change, ...]:
+    """Changes of policy through one run, some two ttl apart. `faults`: with whoever is asked failing, too."""
+    kinds = {kind: weight for kind, weight in CHANGES.items() if faults or kind not in ("kill", "cut")}
+    rng = Random(f"{seed}/{members}/changes")
+    made, at = [], 0.1 * ttl_us
+    while at < seconds * 1e6:
+        kind = rng.choices(list(kinds), list(kinds.values()))[0]
+        member, other = rng.sample(range(members), 2) if members > 1 else (0, 0)
+        after = rng.uniform(0, 60_000) if kind == "kill" else rng.uniform(1.0, 2.0) * ttl_us
+        made.append(Change(round(at), kind, member, other, round(after)))
+        at += rng.uniform(1.2, 2.5) * ttl_us
+    return tuple(made)
+
+
 @dataclass(frozen=True, slots=True)
 class Schedule:
     steps: tuple[Step, ...]
--- a/tests/test_coord.py
+++ b/tests/test_coord.py
@@ -15,7 +15,10 @@
 from stackrouter.coord.lease import Ask, Begin, End, LeaseKeeper, Timing, bears
 from stackrouter.coord.ledger import Ledger
 from stackrouter.coord.port import (
+    UNKNOWN,
     Acquire,
+    Activate,
+    ActiveSeen,
     Answered,
     Append,
     Command,
@@ -23,6 +26,7 @@
     Lease,
     LeaseSeen,
     ListingSeen,
+    Propose,
     Publish,
     Release,
     Renew,
@@ -275,8 +279,14 @@
         listing = {"index": 4, "endpoints": [{"name": "n", "status": "up"}]}
         self.assertTrue(self.ask(0, Publish("watch", "a", token, None, listing)).accepted)
         self.hear(1, lambda e: isinstance(e, ListingSeen) and e.listing["index"] == 4)
-        self.assertTrue(self.ask(1, Append("policy", "b", "x")).accepted)
-        self.hear(0, lambda e: e == EntrySeen(1, "policy", "b", "x"))
+        self.assertTrue(self.ask(1, Append("note", "b", "x")).accepted)
+        self.hear(0, lambda e: e == EntrySeen(1, "note", "b", "x"))
+        self.assertEqual(self.ask(0, Propose("a", 1, "d", "{}", 5)).why, "base")
+        self.assertTrue(self.ask(0, Propose("a", 0, "d", "{}", 5)).accepted)
+        self.assertEqual(self.ask(1, Propose("b", 0, "e", "{}", 5)).why, "base")
+        self.assertTrue(self.ask(1, Activate("b", 1)).accepted)
+        self.hear(0, lambda e: e == ActiveSeen(1))
+        self.assertEqual([v.digest for v in self.stores[1].policies()], ["d"])
         # Not kept alive, the key goes: the duty is free, its next token is higher, the old one is refused.
         self.hear(1, lambda e: isinstance(e, LeaseSeen) and not e.lease.holder)
         second = self.ask(1, Acquire("watch", "b", (0, 0)))
@@ -286,4 +296,4 @@
         self.assertFalse(self.ask(0, Publish("watch", "a", token, None, listing | {"index": 5})).accepted)
         # A store that fails answers every ask as refused, and nothing hangs.
         self.server.failing = True
-        self.assertIn("store", self.ask(1, Renew("watch", "b", second.lease.token)).why)
+        self.assertEqual(self.ask(1, Renew("watch", "b", second.lease.token)).why, UNKNOWN)
