Tell since when each member serves a version; coordination's log lines carry their fields

Present now carries the seconds; lines of coord.* and policy.* have their fields apart in JSON (logfmt.FIELDS) and read as before as text.

--- a/stackrouter/cli/policy.py
+++ b/stackrouter/cli/policy.py
@@ -28,8 +28,8 @@
         return
     out.print(f"newest version {told['version']}; this member serves under {told['serving']} "
               f"since {told['since_s']:g} s, {'ready' if told['ready'] else 'not ready'}")  # fmt: skip
-    for name, version in sorted(told["members"].items()):
-        out.print(f"  {name}: {version}")
+    for name, (version, for_s) in sorted(told["members"].items()):
+        out.print(f"  {name}: version {version} for {for_s} s")
     for number, digest, by in told["versions"]:
         out.print(f"  version {number}  {digest}  proposed by {by}")
 
--- a/stackrouter/coord/etcd.py
+++ b/stackrouter/coord/etcd.py
@@ -77,7 +77,7 @@
         self._listing_revision = 0
         self._entry = 0
         self._policies: list[Version] = []
-        self._present: dict[str, int] = {}
+        self._present: dict[str, tuple[int, int]] = {}
         self._active, self._active_revision = 0, 0
         self._asked = 0
         self._reachable = False
@@ -107,7 +107,7 @@
     def policies(self) -> list[Version]:
         return list(self._policies)
 
-    def present(self) -> dict[str, int]:
+    def present(self) -> dict[str, tuple[int, int]]:
         return dict(self._present)
 
     def members(self) -> list[MemberView]:
@@ -175,9 +175,11 @@
             case Activate():
                 return self._activate(command)
             case Present():
-                put = {"request_put": {"key": self._key(f"present/{command.member}"),
-                                       "value": _b64(str(command.serving))}}  # fmt: skip
-                self._txn([], [put])
+                key, value = (
+                    self._key(f"present/{command.member}"),
+                    json.dumps([command.serving, command.for_s]),
+                )
+                self._txn([], [{"request_put": {"key": key, "value": _b64(value)}}])
                 self._poll()
                 return ""
             case Append():
@@ -267,7 +269,7 @@
                 self._active_revision, self._active = int(about["mod_revision"]), int(value)
                 active = ActiveSeen(self._active)
             elif kind == "present":
-                self._present[rest] = int(value)
+                self._present[rest] = tuple(json.loads(value))
             elif kind == "log" and int(rest) > self._entry:
                 self._entry = int(rest)
                 self._hear(EntrySeen(self._entry, *json.loads(value)))
--- a/stackrouter/coord/ledger.py
+++ b/stackrouter/coord/ledger.py
@@ -85,7 +85,7 @@
     index: int = 0  # of the last entry of the log
     policies: list[Version] = field(default_factory=list)  # the newest last
     active: int = 0  # the newest version that holds
-    present: dict[str, int] = field(default_factory=dict)  # by member, the version it serves under
+    present: dict[str, tuple[int, int]] = field(default_factory=dict)  # by member: version, seconds under it
 
     def apply(self, command: Command) -> tuple[str, list[Event]]:
         """Why it was refused (empty: it took hold), and what there is to see."""
@@ -106,7 +106,7 @@
             case Present():
                 if command.member not in self.present and len(self.present) >= MOST_MEMBERS:
                     return "size", []
-                self.present[command.member] = command.serving
+                self.present[command.member] = command.serving, command.for_s
                 return "", []
             case Append():
                 self.index += 1
--- a/stackrouter/coord/member.py
+++ b/stackrouter/coord/member.py
@@ -48,6 +48,12 @@
     return int(time.clock_gettime_ns(time.CLOCK_BOOTTIME) * rate) // 1000
 
 
+def _say(event: str, **fields: object) -> None:
+    """A line that reads alike as text, and has its fields apart as JSON."""
+    text = " ".join(f"{name}={value}" for name, value in fields.items())
+    log.info("%s %s", event, text, extra=fields)
+
+
 class Member:
     def __init__(self, name: str, store: Coordination, timing: Timing, stale_us: int, counters: Counters,
                  clock: Callable[[], int] = boottime_us) -> None:  # fmt: skip
@@ -172,8 +178,7 @@
                 self.switch.activated(event.number)
             case PolicySeen() if self.switch is not None:
                 version = event.version
-                log.info("policy.committed version=%d digest=%s by=%s", version.number, version.digest[:12],
-                         version.by)  # fmt: skip
+                _say("policy.committed", version=version.number, digest=version.digest[:12], by=version.by)
                 self.switch.saw(version, now)
             case LeaseSeen() if event.lease.duty in self.keepers:
                 keeper = self.keepers[event.lease.duty]
@@ -183,13 +188,14 @@
             case TermSeen():
                 self.term = event
                 self.counters.add("coord.terms")
-                log.info("coord.term term=%d leader=%s", event.term, event.leader or "nobody")
+                _say("coord.term", term=event.term, leader=event.leader or "nobody")
 
     def _steer(self, switch: Switch) -> None:
         """Say that this member is here, and take the version whose time has come."""
         now = self.clock()
         if switch.asks(now):
-            switch.numbered(self.store.ask(Present(self.name, switch.serving.number)), now)
+            for_s = (now - switch.since) // 1_000_000
+            switch.numbered(self.store.ask(Present(self.name, switch.serving.number, for_s)), now)
         if (number := switch.activates(now)) is not None:
             self.store.ask(Activate(self.name, number))
         if (version := switch.due()) is None:
@@ -205,7 +211,7 @@
             switch.took(version, now, False)
             return
         self.counters.add("policy.taken")
-        log.info("policy.taken version=%d digest=%s", version.number, version.digest[:12])
+        _say("policy.taken", version=version.number, digest=version.digest[:12])
         switch.took(version, now, True)
 
     def _listed(self, now: int, event: ListingSeen) -> None:
@@ -225,7 +231,7 @@
         """The fleet did not take what this watcher published: the whole list has to come first, or it is
         over."""
         self.counters.add("coord.publish_refused")
-        log.info("coord.publish refused why=%s", why)
+        _say("coord.publish refused", why=why)
         if why in ("gap", "older") and self._discovery is not None:
             self._discovery.move(self._discovery.address)  # the watch under way would tell of changes alone
 
@@ -240,7 +246,7 @@
                         keeper.numbered(number, now)
                 case Begin():
                     self.counters.add("coord.leases_begun")
-                    log.info("coord.lease begin duty=%s token=%d", action.duty, action.token)
+                    _say("coord.lease begin", duty=action.duty, token=action.token)
                 case End():
                     self.counters.add(f"coord.leases_{action.why}")
-                    log.info("coord.lease end duty=%s token=%d why=%s", action.duty, action.token, action.why)
+                    _say("coord.lease end", duty=action.duty, token=action.token, why=action.why)
--- a/stackrouter/coord/port.py
+++ b/stackrouter/coord/port.py
@@ -99,10 +99,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Present:
-    """This member is here and serves under this version. Its answer says that the group still hears it."""
+    """This member is here and has served under this version for so long. Its answer says that the group still
+    hears it."""
 
     member: str
     serving: int
+    for_s: int
 
 
 Command = Acquire | Renew | Release | Publish | Append | Propose | Activate | Present
@@ -193,8 +195,8 @@
     def policies(self) -> list[Version]:
         """The newest committed versions, oldest first."""
 
-    def present(self) -> dict[str, int]:
-        """By member, the version that it said it serves under last."""
+    def present(self) -> dict[str, tuple[int, int]]:
+        """By member, the version that it said it serves under last, and for how many seconds."""
 
     def members(self) -> list[MemberView]: ...
 
--- a/stackrouter/coord/raft.py
+++ b/stackrouter/coord/raft.py
@@ -178,7 +178,7 @@
     def policies(self) -> list[Version]:
         return list(self._group.ledger.policies) if self._group is not None else []
 
-    def present(self) -> dict[str, int]:
+    def present(self) -> dict[str, tuple[int, int]]:
         return dict(self._group.ledger.present) if self._group is not None else {}
 
     def members(self) -> list[MemberView]:
--- a/stackrouter/logfmt.py
+++ b/stackrouter/logfmt.py
@@ -8,7 +8,20 @@
 
 import structlog
 
-FIELDS = ("request", "node", "volume", "left_out")  # what a record may carry beside its text
+FIELDS = (
+    "request",
+    "node",
+    "volume",
+    "left_out",
+    "term",
+    "leader",
+    "duty",
+    "token",
+    "why",
+    "version",
+    "digest",
+    "by",
+)  # what a record may carry beside its text
 
 
 def formatter(form: str, gateway: str) -> logging.Formatter:
