--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -121,6 +121,7 @@
         config = with_policy(text)
         settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
                                          self.names.classes, config.writes_stated)  # fmt: skip
+        self._limit(config)
         self._retune(settings, bound, unknown)
         if self._binding is not None:
             self._binding.kill(block=False)
