Make up for a lost answer to an acquire: the ledger names the holder, the first ask dates it

Cause: a leader that changes loses the answers under way. The acquire had taken hold, its asker saw its own name in the ledger and took it for another's (coord/lease.py, `saw` had no case for it), so all waited one more ttl. Change: a lease that names this life, over the mark it first asked about at t, is held until t + ttl - max_drift. The ledger takes an acquire only over the very mark, of a free duty, too, and a release moves the mark, so that no other ask can have brought it about.

--- a/stackrouter/coord/lease.py
+++ b/stackrouter/coord/lease.py
@@ -94,6 +94,7 @@
         self._until = 0  # the deadline of our own acting
         self._asked: dict[int, int] = {}  # when the asks were made that may yet be answered
         self._ask_at = now  # not before this does the next ask go out
+        self._over: tuple[tuple[int, int], int] | None = None  # a mark we asked to take over, and when first
 
     def acting(self, now: int) -> int | None:
         """The token to act under now; None: do not act. To be asked before every action of the duty."""
@@ -106,13 +107,26 @@
 
     def saw(self, lease: Lease, now: int) -> list[Action]:
         """The ledger's record, as this member has come to know it."""
+        before = self.seen.mark
         if (lease.mark, lease.holder) != (self.seen.mark, self.seen.holder):
             self._still_since = now
         self.seen = lease
+        if self.phase is not Phase.HOLDING and lease.holder == self.member and lease.seq == 0:
+            return self._adopt(lease.token, before, now)
         if self.phase is Phase.HOLDING and (lease.token > self._token or lease.holder != self.member):
             return self._end("lost", now)
         return self.tick(now)
 
+    def _adopt(self, token: int, before: tuple[int, int], now: int) -> list[Action]:
+        """The ledger names us, and no answer has said so: it was lost, or is yet to come. Only an ask over
+        the mark that stood before can have done that, and the first of those is the one to count from."""
+        until = self._over[1] + self.timing.ttl_us - self.timing.max_drift_us if self._over else 0
+        if self._over is None or self._over[0] != before or now >= until:
+            return self.tick(now)
+        self.phase, self._token, self._until = Phase.HOLDING, token, until
+        self._ask_at = now
+        return [Begin(self.duty, token), *self.tick(now)]
+
     def answered(self, answer: Answered, now: int) -> list[Action]:
         asked_at = self._asked.pop(answer.number, None)
         if asked_at is None:
@@ -148,6 +162,8 @@
             return []
         if self.wanted and now >= self._take_at():
             self.phase, self._ask_at = Phase.ASKING, now + self.timing.ask_us
+            if self._over is None or self._over[0] != self.seen.mark:
+                self._over = self.seen.mark, now
             return [Ask(Acquire(self.duty, self.member, self.seen.mark))]
         return []
 
--- a/stackrouter/coord/ledger.py
+++ b/stackrouter/coord/ledger.py
@@ -134,7 +134,7 @@
         lease = self.lease(command.duty)
         if command.duty not in self.leases and len(self.leases) >= MOST_DUTIES:
             return "size", []
-        if lease.holder != NOBODY and lease.mark != command.over:
+        if lease.mark != command.over:  # also of a free duty: an ask that comes late takes nothing
             return "held", []
         return "", self._set(Lease(command.duty, command.member, lease.token + 1))
 
@@ -143,7 +143,7 @@
         if (lease.holder, lease.token) != (command.member, command.token):
             return "token", []
         if isinstance(command, Release):
-            return "", self._set(replace(lease, holder=NOBODY))
+            return "", self._set(replace(lease, holder=NOBODY, seq=lease.seq + 1))
         return "", self._set(replace(lease, seq=lease.seq + 1))
 
     def _publish(self, command: Publish) -> tuple[str, list[Event]]:
--- a/stackrouter/coord/port.py
+++ b/stackrouter/coord/port.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Acquire:
-    """Take the duty if it is free, or if its mark is still `over` (its holder has let it lapse)."""
+    """Take the duty if its mark is still `over`: it is free, or its holder has let it lapse."""
 
     duty: str
     member: str
