Adopt a duty only under a higher token than the record before it

Seen on reading the change again: after a lapse a member asks to take over its own old mark (T, 0). Cause: coord/lease.py, `_adopt` was reached on holder and seq alone. Ruled out on the normal path: entries come once and in order, and an accepted acquire always raises the token. Change: only a token above the one before can be our ask's doing; a test plays the case and fails on the old text. Also: quota.Holder.age_us, used by nothing, is gone.

--- a/stackrouter/coord/lease.py
+++ b/stackrouter/coord/lease.py
@@ -111,7 +111,9 @@
         if (lease.mark, lease.holder) != (self.seen.mark, self.seen.holder):
             self._still_since = now
         self.seen = lease
-        if self.phase is not Phase.HOLDING and lease.holder == self.member and lease.seq == 0:
+        # A record told again (a snapshot) has the token it had: only a higher one can be our ask's doing.
+        mine = lease.holder == self.member and lease.seq == 0 and lease.token > before[0]
+        if self.phase is not Phase.HOLDING and mine:
             return self._adopt(lease.token, before, now)
         if self.phase is Phase.HOLDING and (lease.token > self._token or lease.holder != self.member):
             return self._end("lost", now)
--- a/stackrouter/coord/quota.py
+++ b/stackrouter/coord/quota.py
@@ -159,7 +159,3 @@
     def part(self, volume: str, now: int) -> float:
         granted = self._grant.parts.get(volume, 0.0) if now < self._until else 0.0
         return self._terms.even + granted
-
-    def age_us(self, now: int) -> int:
-        """How long ago the grant in force was asked for."""
-        return now - (self._until - self._terms.ttl_us + self._terms.max_drift_us)
--- a/tests/test_coord.py
+++ b/tests/test_coord.py
@@ -173,6 +173,14 @@
             Begin("d", 4), keeper.saw(Lease("d", "a", 4), 20 * MS)
         )  # not over a mark we asked about
 
+    def test_a_record_told_again_is_not_taken_for_a_new_holding(self) -> None:
+        keeper = LeaseKeeper("d", "a", TIMING, 0)
+        keeper.tick(0)
+        self.assertIn(Begin("d", 1), keeper.saw(Lease("d", "a", 1), 10 * MS))
+        self.assertIn(End("d", 1, "lapsed"), keeper.tick(900 * MS))
+        self.assertIn(Ask(Acquire("d", "a", (1, 0))), keeper.tick(1700 * MS))
+        self.assertNotIn(Begin("d", 1), keeper.saw(Lease("d", "a", 1), 1710 * MS))  # from a snapshot
+
     def test_a_lease_of_a_former_life_is_not_acted_under(self) -> None:
         keeper = LeaseKeeper("d", "a#2", TIMING, 0)
         self.assertEqual(keeper.saw(Lease("d", "a#1", 4, 2), 0), [])
