--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -17,9 +17,20 @@
 
 from rackseam.interface import ListKind, Settings
 from stackrouter import log
-from stackrouter.config import Config, ConfigError, load, reload, with_policy
+from stackrouter.config import Config, load, reload, with_policy
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
+from stackrouter.errors import (
+    ConfigError,
+    ConfigValueError,
+    DoorCallError,
+    NotReadyError,
+    PolicyInForceError,
+    StackrouterError,
+    StoppingError,
+    VariableError,
+    tell,
+)
 from stackrouter.fronts.platform.client import BUSY, PATIENCE, Names, PlatformSession
 from stackrouter.fronts.sftp.client import PATIENCE as SFTP_PATIENCE
 from stackrouter.fronts.sftp.client import SftpSession, Shared
@@ -29,7 +40,7 @@
 from stackrouter.net.listener import Listener, Session
 from stackrouter.net.pool import Pool
 from stackrouter.ops.drain import Drain
-from stackrouter.ops.retune import BIND_S, RetuneError, merge
+from stackrouter.ops.retune import BIND_S, merge
 
 if TYPE_CHECKING:
     from stackrouter.edge.wiring import Extras
@@ -54,10 +65,10 @@
         try:
             version, _, entries, addresses = listing.read(config.known)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise ConfigError(f"known: {type(error).__name__}: {error}") from None
+            raise ConfigValueError(f"{type(error).__name__}: {error}", key="known") from None
         self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed,
                                    version if entries else None, config.settings.seed,
-                                   config.settings.gateways)  # fmt: skip
+                                   config.settings.gateways, not config.settings.list_on_request)  # fmt: skip
         self.engine.fetch_list = self.discovery.refetch
         self.engine.listed(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
@@ -93,22 +104,18 @@
         """Read the configuration file again; one that cannot be used changes nothing."""
         try:
             config = reload()
-        except ConfigError as error:
-            self.counters.add("reloads.failed")
-            logger.warning("keeping the old configuration: %s", error)
-            return
-        try:
             settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
                                              self.names.classes, config.writes_stated)  # fmt: skip
-        except RetuneError as error:
+        except ConfigError as error:
             self.counters.add("reloads.failed")
-            logger.warning("keeping the old configuration: GW_CONFIG: %s", error)
+            tell(logger, error, "keeping the old configuration")
             return
         self.counters.add("reloads.done")
         self._limit(config)
         self.discovery.move(config.discovery)
         if self.extras is not None and self.extras.policy_in_force():
-            logger.warning("settings of the file are left out: a policy of the fleet is in force")
+            what = "settings of the file are left out: a policy of the fleet is in force"
+            tell(logger, PolicyInForceError(what))
             return
         self._retune(settings, bound, unknown)
         logger.info(
@@ -116,7 +123,7 @@
         )
 
     def take_policy(self, text: str) -> None:
-        """Serve under these settings from now on; open requests keep their rules. ConfigError or RetuneError:
+        """Serve under these settings from now on; open requests keep their rules. ConfigError:
         nothing has changed."""
         config = with_policy(text)
         settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
@@ -154,9 +161,9 @@
         now = time.monotonic()
         if call == "status":
             if self._terminated.is_set():
-                return "FAILURE stopping"
+                return f"FAILURE {StoppingError('stopping').coded()}"
             if self.extras is not None and (why := self.extras.not_ready()):
-                return f"FAILURE {why}"
+                return f"FAILURE {NotReadyError(why).coded()}"
             return f"SUCCESS {self.drain.status(now)}"
         if call == "standby":
             began = self.drain.standby(now)
@@ -171,7 +178,7 @@
             return "SUCCESS serving"
         if call.startswith("policy ") and self.extras is not None:
             return self.extras.policy_call(call)
-        return f"FAILURE {call[:40]!r}: not a call of this gateway"
+        return f"FAILURE {DoorCallError(f'{call[:40]!r}: not a call of this gateway').coded()}"
 
     def print_counters(self) -> None:
         print(self.counters.line(), file=sys.stderr, flush=True)
@@ -195,9 +202,8 @@
 def load_extras(config: Config) -> Extras | None:
     """What the operator's file asks for; without one, none of it is even imported."""
     if os.environ.get("GW_SFTP"):
-        raise ConfigError(
-            "GW_SFTP: is no more: name a file like deploy/edge.txtpb, with a part sftp, in GW_EDGE"
-        )
+        what = "is no more: name a file like deploy/edge.txtpb, with a part sftp, in GW_EDGE"
+        raise VariableError(what, key="GW_SFTP")
     path = os.environ.get("GW_EDGE")
     if not path:
         return None
@@ -219,8 +225,8 @@
             extras.attach(gateway.engine, gateway.pool)
             extras.coordinate(gateway.discovery, gateway.counters, gateway.engine, gateway.take_policy)
             gateway.extras = extras
-    except (ConfigError, OSError) as error:
-        print(f"stackrouter: {error}", file=sys.stderr)
+    except StackrouterError as error:
+        print(f"stackrouter: {error.whole()}", file=sys.stderr)
         return EXIT_CONFIG
     gevent.signal_handler(signal.SIGTERM, gateway.terminate)
     gevent.signal_handler(signal.SIGINT, gateway.terminate)
--- a/stackrouter/accounts/report.py
+++ b/stackrouter/accounts/report.py
@@ -11,6 +11,7 @@
 from stackrouter.accounts.book import PAIRS, Book
 from stackrouter.accounts.ledger import Learned
 from stackrouter.core import facts
+from stackrouter.errors import MixedTracesError
 
 LEARN_FACTS = 150_000  # facts of the first look: minutes of a gateway's time, seconds of a machine's
 
@@ -57,8 +58,8 @@
 
 
 def same(usuals: Iterable[Usual]) -> Usual:
-    """ValueError: traces of gateways that were set up differently."""
+    """MixedTracesError: traces of gateways that were set up differently."""
     found = set(usuals)
     if len(found) != 1:
-        raise ValueError("the traces are of gateways with different plans or classes")
+        raise MixedTracesError("the traces are of gateways with different plans or classes")
     return found.pop()
--- a/stackrouter/cli/checks.py
+++ b/stackrouter/cli/checks.py
@@ -10,7 +10,8 @@
 
 import typer
 
-from stackrouter.cli.shared import AsJson, InputError, print_json
+from stackrouter.cli.shared import AsJson, print_json
+from stackrouter.errors import ConfigError
 
 
 def serve(
@@ -37,8 +38,7 @@
     as_json: AsJson = False,
 ) -> None:
     """Say whether an operator's file can be used, and what it turns on."""
-    from stackrouter.config import ConfigError, load
-    from stackrouter.edge.load import EdgeError
+    from stackrouter.config import load
     from stackrouter.edge.load import load as load_edge
     from stackrouter.fronts.sftp.config import settings
 
@@ -46,11 +46,11 @@
         edge = load_edge(file)
         if config is not None:
             settings(load({"GW_CONFIG": str(config)}), edge.sftp)
-    except (ConfigError, EdgeError) as error:
-        if as_json:
-            print_json({"ok": False, "error": str(error)})
-            raise typer.Exit(2) from None
-        raise InputError(error) from None
+    except ConfigError as error:
+        if not as_json:
+            raise
+        print_json({"ok": False, **error.fields()})
+        raise typer.Exit(2) from None
     on = [part for part in ("sftp", "accounts", "trace", "coordination") if getattr(edge, part).enabled]
     if as_json:
         print_json({"ok": True, "on": on, "edge": dataclasses.asdict(edge)})
--- a/stackrouter/cli/demo.py
+++ b/stackrouter/cli/demo.py
@@ -16,7 +16,8 @@
 from rich.table import Table
 from rich.text import Text
 
-from stackrouter.cli.shared import InputError, err, out, print_json
+from stackrouter.cli.shared import err, out, print_json
+from stackrouter.errors import OptionError, OutputError
 
 if TYPE_CHECKING:
     from stackrouter.standins.fleet import StandinFleet
@@ -36,10 +37,10 @@
     as_json: Annotated[bool, typer.Option("--json", help="At the end one line of JSON; no table.")] = False,
 ) -> None:
     """Play a whole installation on this machine; Ctrl-C ends all of it."""
-    from stackrouter.standins.fleet import Scene, StandinFleet, StartError
+    from stackrouter.standins.fleet import Scene, StandinFleet
 
     if noisy not in ("basic", "priority", "writes", "none"):
-        raise InputError(f"--noisy: must be one of basic, priority, writes, none, not {noisy!r}")
+        raise OptionError(f"must be one of basic, priority, writes, none, not {noisy!r}", key="--noisy")
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="stackrouter-demo-")))
         edge = ""
@@ -47,7 +48,7 @@
             try:
                 trace.mkdir(parents=True, exist_ok=True)
             except OSError as error:
-                raise InputError(f"--trace: {trace}: {error.strerror}") from None
+                raise OutputError(error.strerror, key="--trace", file=trace) from None
             edge = EDGE.format(folder=trace.resolve()).replace("{{", "{").replace("}}", "}")
         length = seconds or 30.0
         scene = Scene(gateways, nodes, seed, 0.3, noisy, (0.25 * length, 0.75 * length), edge)
@@ -56,11 +57,8 @@
         for number in (signal.SIGINT, signal.SIGTERM):
             signal.signal(number, lambda n, _frame: stop.append(n))
         fleet = StandinFleet(scene, folder)
-        try:
-            with fleet:
-                _show(fleet, seconds, stop, as_json)
-        except StartError as error:
-            raise InputError(error) from None
+        with fleet:
+            _show(fleet, seconds, stop, as_json)
         if as_json:
             print_json(_figures(fleet))
         else:
--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -14,7 +14,8 @@
 
 import typer
 
-from stackrouter.cli.shared import BAD_INPUT, NOT_SO, AsJson, InputError, bar, out, print_json
+from stackrouter.cli.shared import BAD_INPUT, NOT_SO, AsJson, bar, out, print_json
+from stackrouter.errors import OptionError, StartError
 
 if TYPE_CHECKING:
     from stackrouter.fleet.check import Verdict
@@ -70,10 +71,11 @@
     named = {"all": DEFAULT, "none": ()}.get(nemesis, tuple(nemesis.split(",")))
     for kind in named:
         if kind not in KINDS:
-            raise InputError(f"--nemesis: must be of {', '.join(KINDS)}, all or none, not {kind!r}")
+            raise OptionError(f"must be of {', '.join(KINDS)}, all or none, not {kind!r}", key="--nemesis")
     count = _count(members, seed)
     if not 0 <= 2 * drift_ms < ttl_ms:
-        raise InputError(f"--drift-ms: must be less than half of the ttl ({ttl_ms}), not {drift_ms}")
+        what = f"must be less than half of the ttl ({ttl_ms}), not {drift_ms}"
+        raise OptionError(what, key="--drift-ms")
     if runs > rounds:
         options = ["--members", members, "--nemesis", nemesis, "--seconds", str(seconds), "--check", check,
                    "--ttl-ms", str(ttl_ms), "--drift-ms", str(drift_ms), "--election-ms", str(election_ms),
@@ -113,13 +115,13 @@
     found = re.fullmatch(r"(\d+)(?:-(\d+))?", members)
     least, most = (int(found[1]), int(found[2] or found[1])) if found else (0, 0)
     if not FEWEST <= least <= most <= MOST:
-        raise InputError(f"--members: must be {FEWEST} to {MOST}, or a span such as 3-7, not {members!r}")
+        what = f"must be {FEWEST} to {MOST}, or a span such as 3-7, not {members!r}"
+        raise OptionError(what, key="--members")
     return least + seed % (most - least + 1)
 
 
 def _one(setup: Any, logs: Path | None, rounds: int) -> dict[str, Any]:
     from stackrouter.fleet.rig import Rig
-    from stackrouter.standins.fleet import StartError
 
     with tempfile.TemporaryDirectory(prefix="stackrouter-fleet-") as scratch:
         folder = Path(scratch)
@@ -131,7 +133,7 @@
             with rig:
                 verdict = rig.run(rounds)
         except StartError as error:
-            raise InputError(f"seed {setup.seed}: {error}") from None
+            raise StartError(f"seed {setup.seed}: {error}") from None
         return _figures(rig, verdict) | {"runs": rounds}
 
 
--- a/stackrouter/cli/main.py
+++ b/stackrouter/cli/main.py
@@ -8,14 +8,15 @@
 
 import typer
 
-from stackrouter.cli import bench, checks, demo, fleet, model, policy, report, trace
-from stackrouter.cli.shared import InputError
+from stackrouter.cli import bench, checks, demo, explain, fleet, model, policy, report, trace
+from stackrouter.errors import StackrouterError
 
 app = typer.Typer(name="stackrouter", no_args_is_help=True, rich_markup_mode=None,
                   context_settings={"help_option_names": ["-h", "--help"]},
                   help="A storage gateway, and the tools to see what it does.")  # fmt: skip
 app.command("serve")(checks.serve)
 app.command("check")(checks.check)
+app.command("explain")(explain.explain)
 app.command("demo")(demo.demo)
 app.add_typer(fleet.app, name="fleet")
 app.add_typer(policy.app, name="policy")
@@ -43,8 +44,8 @@
 def main() -> None:
     try:
         app()
-    except InputError as error:
-        print(f"stackrouter: {error}", file=sys.stderr)
+    except StackrouterError as error:
+        print(f"stackrouter: {error.whole()}", file=sys.stderr)
         sys.exit(2)
     except BrokenPipeError:
         sys.stderr.close()
--- a/stackrouter/cli/policy.py
+++ b/stackrouter/cli/policy.py
@@ -9,8 +9,9 @@
 
 import typer
 
-from stackrouter.cli.shared import NOT_SO, AsJson, InputError, out, print_json
-from stackrouter.config import ConfigError, address_of
+from stackrouter.cli.shared import NOT_SO, AsJson, out, print_json
+from stackrouter.config import address_of
+from stackrouter.errors import DoorUnreachableError
 
 app = typer.Typer(no_args_is_help=True, help="The policy that the whole fleet serves under.")
 ANSWER_S = 2.0
@@ -61,7 +62,7 @@
 def _status(door: str) -> dict[str, Any]:
     kind, told = _call(door, "policy status")
     if kind != "SUCCESS":
-        raise InputError(f"{door}: {told}")
+        raise DoorUnreachableError(told, address=door)
     answer: dict[str, Any] = json.loads(told)
     return answer
 
@@ -72,9 +73,7 @@
         with socket.create_connection(address_of(door, "--door"), ANSWER_S) as sock:
             sock.sendall(call.encode() + b"\n")
             line = sock.makefile("r", encoding="utf-8").readline()
-    except ConfigError as error:
-        raise InputError(error) from None
     except OSError as error:
-        raise InputError(f"--door: {door}: {error}") from None
+        raise DoorUnreachableError(error, key="--door", address=door) from None
     kind, _, told = line.strip().partition(" ")
     return kind, told
--- a/stackrouter/cli/report.py
+++ b/stackrouter/cli/report.py
@@ -8,8 +8,9 @@
 import typer
 from rich.table import Table
 
-from stackrouter.cli.shared import AsJson, InputError, bar, err, out, print_json
+from stackrouter.cli.shared import AsJson, bar, err, out, print_json
 from stackrouter.cli.trace import Files, opened, warnings
+from stackrouter.errors import OutputError
 
 app = typer.Typer(no_args_is_help=True, help="Reports from traces.")
 
@@ -34,17 +35,14 @@
     from stackrouter.trace.read import merge
 
     traces = opened(files)
-    try:
-        usual = same(
-            Usual(
-                tuple((p.name, p.usual_units_per_s) for p in run.header.plans),
-                run.header.classes,
-                run.header.largest_units,
-            )
-            for run in traces.runs
+    usual = same(
+        Usual(
+            tuple((p.name, p.usual_units_per_s) for p in run.header.plans),
+            run.header.classes,
+            run.header.largest_units,
         )
-    except ValueError as error:
-        raise InputError(error) from None
+        for run in traces.runs
+    )
     with bar("accounts", traces.count) as progress:
         book = read(usual, lambda: merge(traces.runs), pairs, progress.at)
     found = figures(book, usual, most)
@@ -56,7 +54,7 @@
         try:
             html.write_text(latency_page(found, book.timeline()), encoding="utf-8")
         except OSError as error:
-            raise InputError(f"{html}: {error.strerror}") from None
+            raise OutputError(error.strerror, file=html) from None
     if as_json:
         print_json(found)
         return
--- a/stackrouter/cli/shared.py
+++ b/stackrouter/cli/shared.py
@@ -19,10 +19,6 @@
 err = Console(stderr=True, highlight=False)
 
 
-class InputError(Exception):
-    """What was given cannot be used: one line that names what and where, exit code 2."""
-
-
 def print_json(values: Any) -> None:
     json.dump(values, sys.stdout, separators=(",", ":"))
     sys.stdout.write("\n")
--- a/stackrouter/cli/trace.py
+++ b/stackrouter/cli/trace.py
@@ -11,7 +11,8 @@
 import typer
 from rich.table import Table
 
-from stackrouter.cli.shared import NOT_SO, AsJson, InputError, out, print_json
+from stackrouter.cli.shared import NOT_SO, AsJson, out, print_json
+from stackrouter.errors import OutputError
 from stackrouter.trace.read import Traces
 
 app = typer.Typer(no_args_is_help=True, help="Look at traces, and take parts of them.")
@@ -20,12 +21,9 @@
 
 
 def opened(files: Sequence[Path]) -> Traces:
-    from stackrouter.trace.read import TraceError, open_traces
+    from stackrouter.trace.read import open_traces
 
-    try:
-        return open_traces(files)
-    except TraceError as error:
-        raise InputError(error) from None
+    return open_traces(files)
 
 
 def warnings(traces: Traces) -> list[str]:
@@ -131,7 +129,7 @@
     from stackrouter.trace.read import shift_us
 
     if any(output.resolve() == file.resolve() for file in files):
-        raise InputError(f"{output}: is one of the files to read")
+        raise OutputError("is one of the files to read", file=output)
     traces = opened(files)
     starts = [next(run.read()).at + shift_us(run.header) for run in traces.runs]
     begin = min(starts) + round(since * 1e6)
@@ -159,7 +157,7 @@
                 written += first
             file.write(pack_index(places))
     except OSError as error:
-        raise InputError(f"{output}: {error.strerror}") from None
+        raise OutputError(error.strerror, file=output) from None
     if as_json:
         print_json({"facts": written, "blocks": len(places), "problems": warnings(traces)})
     else:
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -10,6 +10,15 @@
 
 from rackseam.benchlink import settings_of
 from rackseam.interface import Settings
+from stackrouter.errors import (
+    AddressError,
+    ConfigFileError,
+    ConfigKeyError,
+    ConfigValueError,
+    RetuneError,
+    UnsetError,
+    VariableError,
+)
 from stackrouter.ops.retune import check
 
 SPARE_SOCKETS = 32  # descriptors kept back: the log, the event loop, listeners, discovery
@@ -20,10 +29,6 @@
 OPEN_PART = 0.5  # part of the memory that open requests may fill
 
 
-class ConfigError(Exception):
-    """The configuration cannot be used; the text says why."""
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -51,7 +56,7 @@
 def address_of(text: Any, name: str) -> tuple[str, int]:
     host, _, port = str(text or "").rpartition(":")
     if not host or not port.isdigit() or int(port) > 65535:
-        raise ConfigError(f"{name}: not an address: {text!r}")
+        raise AddressError(f"not an address: {text!r}", key=name)
     return host, int(port)
 
 
@@ -60,7 +65,7 @@
     if not text:
         return None
     if not text.isdigit():
-        raise ConfigError(f"GW_LISTEN_FD: not a descriptor: {text!r}")
+        raise VariableError(f"not a descriptor: {text!r}", key="GW_LISTEN_FD")
     return int(text)
 
 
@@ -68,21 +73,23 @@
     """`strict`: also what a change of settings may not have (ops.retune.check): a file read again."""
     path = environ.get("GW_CONFIG")
     if not path:
-        raise ConfigError("GW_CONFIG is not set")
+        raise UnsetError("is not set", key="GW_CONFIG")
     try:
         with open(path, encoding="utf-8") as file:
             text = file.read()
         raw = json.loads(text)
-        if strict:
-            check(raw, text)
     except (OSError, ValueError) as error:
-        raise ConfigError(f"GW_CONFIG: {path}: {error}") from None
+        raise ConfigFileError(error, file=f"GW_CONFIG: {path}") from None
     try:
+        if strict:
+            check(raw, text)
         return _config(raw, environ)
+    except RetuneError as error:
+        raise error.within(f"GW_CONFIG: {path}") from None
     except KeyError as error:
-        raise ConfigError(f"GW_CONFIG: {path}: key {error.args[0]} is missing") from None
+        raise ConfigKeyError("key is missing", file=f"GW_CONFIG: {path}", key=str(error.args[0])) from None
     except (TypeError, ValueError, AttributeError, IndexError) as error:
-        raise ConfigError(f"GW_CONFIG: {path}: {type(error).__name__}: {error}") from None
+        raise ConfigValueError(f"{type(error).__name__}: {error}", file=f"GW_CONFIG: {path}") from None
 
 
 def reload(environ: Mapping[str, str] = os.environ) -> Config:
@@ -100,13 +107,17 @@
         check(told, text)
         plans = [[g["Name"] for g in s["Grades"]] for s in (raw["settings"], told["settings"])]
         if plans[0] != plans[1]:
-            raise ValueError(f"Grades must name the plans that the gateways started with, {plans[0]}")
+            raise ConfigValueError(
+                f"must name the plans that the gateways started with, {plans[0]}", file="policy", key="Grades"
+            )
         raw["settings"] = told["settings"] | {"Position": raw["settings"].get("Position", 0)}
         return _config(raw, environ)
+    except RetuneError as error:
+        raise error.within("policy") from None
     except KeyError as error:
-        raise ConfigError(f"policy: key {error.args[0]} is missing") from None
+        raise ConfigKeyError("key is missing", file="policy", key=str(error.args[0])) from None
     except (OSError, TypeError, ValueError, AttributeError, IndexError) as error:
-        raise ConfigError(f"policy: {error}") from None
+        raise ConfigValueError(error, file="policy") from None
 
 
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
--- a/stackrouter/coord/calls.py
+++ b/stackrouter/coord/calls.py
@@ -12,20 +12,26 @@
 import json
 from pathlib import Path
 
-from stackrouter.config import ConfigError, with_policy
+from stackrouter.config import with_policy
 from stackrouter.coord.ledger import MOST_BODY
 from stackrouter.coord.member import Member
 from stackrouter.coord.policy import OWN
 from stackrouter.coord.port import UNKNOWN, Propose
+from stackrouter.errors import (
+    ConfigError,
+    DoorCallError,
+    PolicyBaseError,
+    PolicyError,
+    PolicyFileError,
+    PolicyRefusedError,
+    PolicyUnknownError,
+    PolicyVersionError,
+)
 
 ANSWER_S = 0.8  # the door's answer is due within 1 s
 USAGE = "policy status | policy propose BASE FILE | policy rollback BASE"
 
 
-class CallError(Exception):
-    """The call cannot be carried out; the text says why."""
-
-
 class PolicyCalls:
     def __init__(self, member: Member, after_us: int) -> None:
         self._member, self._after_us = member, after_us
@@ -39,9 +45,9 @@
                     return self._propose(int(base), canonical(_read(file)))
                 case [_, "rollback", base] if base.isdigit():
                     return self._propose(int(base), self._before(int(base)))
-        except (CallError, ConfigError) as error:
-            return f"FAILURE {' '.join(str(error).split())}"
-        return f"FAILURE usage: {USAGE}"
+        except (PolicyError, ConfigError) as error:
+            return f"FAILURE {error.coded()}"
+        return f"FAILURE {DoorCallError(f'usage: {USAGE}').coded()}"
 
     def _status(self) -> str:
         member, switch = self._member, self._member.switch
@@ -62,9 +68,9 @@
     def _before(self, base: int) -> str:
         versions = {v.number: v for v in self._member.store.policies()}
         if base not in versions:
-            raise CallError(f"version {base} is not known here")
+            raise PolicyVersionError(f"version {base} is not known here")
         if base - 1 not in versions:
-            raise CallError(f"there is no version before {base} to go back to")
+            raise PolicyVersionError(f"there is no version before {base} to go back to")
         return versions[base - 1].body
 
     def _propose(self, base: int, body: str) -> str:
@@ -73,11 +79,12 @@
         command = Propose(self._member.name, base, digest, body, self._after_us)
         why = self._member.ask_and_wait(command, ANSWER_S)
         if why is None or why == UNKNOWN:
-            raise CallError("not known whether it was committed: see policy status")
+            raise PolicyUnknownError("not known whether it was committed: see policy status")
         if why == "base":
-            raise CallError(f"another change came first: version {base} is not the newest, see policy status")
+            what = f"another change came first: version {base} is not the newest, see policy status"
+            raise PolicyBaseError(what)
         if why:
-            raise CallError(f"not committed: {why}")
+            raise PolicyRefusedError(f"not committed: {why}")
         return f"SUCCESS version={base + 1} digest={digest[:12]} in force in {self._after_us / 1e6:g} s"
 
 
@@ -86,14 +93,14 @@
     try:
         return json.dumps({"settings": json.loads(text)["settings"]}, sort_keys=True, indent=1)
     except (ValueError, KeyError, TypeError) as error:
-        raise CallError(f"policy: key settings is missing or the file is no JSON: {error}") from None
+        raise PolicyFileError(f"policy: key settings is missing or the file is no JSON: {error}") from None
 
 
 def _read(file: str) -> str:
     try:
         text = Path(file).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise CallError(f"{file}: {error}") from None
+        raise PolicyFileError(error, file=file) from None
     if len(text) > MOST_BODY:
-        raise CallError(f"{file}: more than {MOST_BODY} bytes")
+        raise PolicyFileError(f"more than {MOST_BODY} bytes", file=file)
     return text
--- a/stackrouter/coord/etcd.py
+++ b/stackrouter/coord/etcd.py
@@ -51,6 +51,7 @@
     Release,
     Renew,
 )
+from stackrouter.errors import StoreError, tell
 
 log = logging.getLogger(__name__)
 
@@ -140,11 +141,10 @@
             except (Etcd3Exception, ValueError, KeyError, OSError) as error:
                 self._reachable = False
                 self._clients.rotate(-1)
+                tell(log, StoreError(error), "coordination")
                 if number is not None:
-                    log.warning("coordination: %s", error)
                     self._hear(Answered(number, False, None, UNKNOWN))
                 else:
-                    log.warning("coordination: %s", error)
                     self._closing.wait(POLL_S)
 
     def _carry_out(self, command: Command) -> str:
--- a/stackrouter/coord/join.py
+++ b/stackrouter/coord/join.py
@@ -7,13 +7,14 @@
 from functools import partial
 from pathlib import Path
 
-from stackrouter.config import ConfigError, address_of
+from stackrouter.config import address_of
 from stackrouter.coord.lease import Timing
 from stackrouter.coord.member import Member, boottime_us
 from stackrouter.coord.policy import Rules
 from stackrouter.coord.port import Coordination as Store
 from stackrouter.core.counters import Counters
 from stackrouter.edge.config import Coordination
+from stackrouter.errors import EdgeNameError, FolderError, TimesError
 from stackrouter.net.discovery import Discovery
 
 log = logging.getLogger(__name__)
@@ -31,11 +32,12 @@
 
 def join(conf: Coordination, name: str, discovery: Discovery, counters: Counters,
          take_policy: Callable[[str], None]) -> Member:  # fmt: skip
-    """ConfigError: this gateway is not among the peers, or the journal's folder cannot be written."""
+    """A ConfigError: this gateway is not among the peers, or the journal's folder cannot be written."""
     name = conf.member or name
     names = [peer.name for peer in conf.peer]
     if conf.store == "raft" and name not in names:
-        raise ConfigError(f"coordination.member: must be one of the peers ({', '.join(names)}), not {name!r}")
+        what = f"must be one of the peers ({', '.join(names)}), not {name!r}"
+        raise EdgeNameError(what, key="coordination.member")
     position = names.index(name) if name in names else 0
     rate = 1 + (conf.drill.clock_ppm / 1e6 if conf.drill else 0.0)
     clock = partial(boottime_us, rate)
@@ -68,6 +70,7 @@
     try:
         return Raft(me, peers, conf.election_ms * 1000, Path(conf.folder))
     except OSError as error:
-        raise ConfigError(f"coordination.folder: {conf.folder}: {error.strerror}") from None
+        raise FolderError(error.strerror, file=conf.folder, key="coordination.folder") from None
     except AssertionError:
-        raise ConfigError("coordination.election_ms: too short for the heartbeats within it") from None
+        what = "too short for the heartbeats within it"
+        raise TimesError(what, key="coordination.election_ms") from None
--- a/stackrouter/coord/lease.py
+++ b/stackrouter/coord/lease.py
@@ -23,6 +23,7 @@
 from dataclasses import dataclass
 
 from stackrouter.coord.port import NOBODY, Acquire, Answered, Command, Lease, Release, Renew
+from stackrouter.errors import TimesError
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,9 +41,9 @@
 
     def __post_init__(self) -> None:
         if not 0 <= self.max_drift_us < self.ttl_us:
-            raise ValueError("max_drift must be at least 0 and less than ttl")
+            raise TimesError("must be at least 0 and less than ttl", key="max_drift")
         if not 0 < self.renew_us < self.ttl_us - self.max_drift_us:
-            raise ValueError("renewals must come before ttl - max_drift")
+            raise TimesError("renewals must come before ttl - max_drift", key="renew")
 
 
 def bears(timing: Timing, holder_rate: float, other_rate: float) -> bool:
--- a/stackrouter/coord/member.py
+++ b/stackrouter/coord/member.py
@@ -14,7 +14,6 @@
 from gevent.event import AsyncResult
 from gevent.event import Event as Flag
 
-from stackrouter.config import ConfigError
 from stackrouter.coord.lease import Action, Ask, Begin, End, LeaseKeeper, Timing
 from stackrouter.coord.policy import Rules, Switch
 from stackrouter.coord.port import (
@@ -33,6 +32,7 @@
 )
 from stackrouter.coord.watch import Follower, Role, Verdict
 from stackrouter.core.counters import Counters
+from stackrouter.errors import ConfigError, PolicyTakeError, defect, tell
 from stackrouter.net.discovery import Discovery
 
 log = logging.getLogger(__name__)
@@ -155,7 +155,7 @@
                     self._steer(self.switch)
             except Exception:  # coordination must never end the gateway: without it, it serves as it did
                 self.counters.add("errors.coord")
-                log.exception("coordination")
+                defect(log, "coordination")
                 gevent.sleep(0.1)
             times = [at for k in self.keepers.values() if (at := k.next_at()) is not None]
             times += [self.switch.next_at()] if self.switch is not None else []
@@ -202,12 +202,9 @@
             return
         try:
             self._take_policy(version.body)
-        except (
-            ConfigError,
-            ValueError,
-        ) as error:  # what was checked where it was proposed may still not fit here
+        except ConfigError as error:  # what was checked where it was proposed may still not fit here
             self.counters.add("policy.failed")
-            log.error("policy.failed version=%d: %s", version.number, error)
+            tell(log, PolicyTakeError(error), f"policy.failed version={version.number}", logging.ERROR)
             switch.took(version, now, False)
             return
         self.counters.add("policy.taken")
--- a/stackrouter/coord/raft.py
+++ b/stackrouter/coord/raft.py
@@ -45,6 +45,7 @@
     PolicySeen,
     TermSeen,
 )
+from stackrouter.errors import StoreError, defect, tell
 
 log = logging.getLogger(__name__)
 
@@ -219,7 +220,7 @@
                     self._hear([ActiveSeen(ledger.active)])
                 self._look()
             except Exception:  # a peer that sends what cannot be read must not end the member
-                log.exception("coordination")
+                defect(log, "coordination")
                 self._closing.wait(self._tick_s)
         if self._group is not None:
             self._group._doDestroy()
@@ -233,7 +234,7 @@
             others = [_DialedNode(peer) for peer in self._peers]
             self._group = _Group(TCPNode(self._me.address), others, self._conf, self._hear)
         except Exception as error:
-            log.warning("coordination: %s: %s", self._conf.bindAddress, error)
+            tell(log, StoreError(error, address=self._conf.bindAddress), "coordination")
             return False
         return True
 
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -44,6 +44,7 @@
 from stackrouter.core.model import Attempt, Node, Reply, Request, Result, Transport, Verdict
 from stackrouter.core.wheel import Timer as WheelTimer
 from stackrouter.core.wheel import Wheel
+from stackrouter.errors import ActionError, defect, tell
 
 log = logging.getLogger(__name__)
 
@@ -154,7 +155,7 @@
                 call()
             except Exception:
                 self.counters.add("errors.engine")
-                log.exception("engine")
+                defect(log, "engine")
         for _ in range(MOST_ROUNDS):
             if not self._events:
                 return
@@ -164,7 +165,7 @@
             except Exception:
                 # The decisions of this batch are lost; its requests end by their backstop.
                 self.counters.add("errors.module")
-                log.exception("decision module")
+                defect(log, "decision module")
                 continue
             if self.tap is not None:
                 self._tell_held(self.tap)
@@ -173,7 +174,7 @@
                     self._carry_out(action)
                 except Exception:
                     self.counters.add("errors.action")
-                    log.exception("action %s", type(action).__name__)
+                    defect(log, f"action {type(action).__name__}")
 
     def _tell_held(self, tap: facts.Tap) -> None:
         for request, wait in self.controller.held or ():
@@ -322,7 +323,7 @@
                 log.info("module: %s", text)
             case _:
                 self.counters.add("errors.action")
-                log.error("the settings allow no %s", type(action).__name__)
+                tell(log, ActionError(f"the settings allow no {type(action).__name__}"), level=logging.ERROR)
 
     def _send(self, request: str, name: str, timeout_us: int) -> None:
         r, node = self.requests.get(request), self.nodes.get(name)
--- a/stackrouter/core/facts.py
+++ b/stackrouter/core/facts.py
@@ -12,6 +12,7 @@
 
 from rackseam.interface import ListKind, NodeEntry, Outcome
 from stackrouter.core.model import Verdict
+from stackrouter.errors import defect
 
 log = logging.getLogger(__name__)
 
@@ -110,5 +111,5 @@
             try:
                 subscriber(fact)
             except Exception:
-                log.exception("a reader of facts failed and is dropped")
+                defect(log, "a reader of facts failed and is dropped")
                 self.subscribers.remove(subscriber)
--- a/stackrouter/edge/config.py
+++ b/stackrouter/edge/config.py
@@ -8,7 +8,8 @@
 
 from annotated_types import Ge, Le, Len
 
-from stackrouter.config import ConfigError, address_of
+from stackrouter.config import address_of
+from stackrouter.errors import AddressError
 
 Port = Annotated[int, Ge(0), Le(65535)]
 Wait = Annotated[int, Ge(1), Le(3_600_000)]
@@ -118,7 +119,7 @@
         try:
             for place, address in self._addresses():
                 address_of(address, place)
-        except ConfigError as error:
+        except AddressError as error:
             return str(error)
         return None
 
--- a/stackrouter/edge/load.py
+++ b/stackrouter/edge/load.py
@@ -8,17 +8,22 @@
 
 import os
 import pickle
+import re
 from pathlib import Path
 
 from stackrouter.edge.config import NEEDS, Edge
-
-
-class EdgeError(Exception):
-    """The operator's file cannot be used; the text is one line that says where and what is allowed."""
+from stackrouter.errors import (
+    EdgeFileError,
+    EdgeReaderError,
+    EdgeTextError,
+    EdgeValueError,
+    MissingExtraError,
+    StackrouterError,
+)
 
 
 def parse(text: str, name: str) -> Edge:
-    """EdgeError: not protobuf text of the schema, or a value out of bounds."""
+    """An EdgeError: not protobuf text of the schema, or a value out of bounds."""
     from google.protobuf import json_format, text_format
     from pydantic import TypeAdapter, ValidationError
 
@@ -27,23 +32,32 @@
     try:
         message = text_format.Parse(text, edge_pb2.Edge())
     except text_format.ParseError as error:
-        raise EdgeError(f"{name}: line {' '.join(str(error).split())}") from None
+        line, what = _line(str(error))
+        raise EdgeTextError(what, file=name, line=line) from None
     values = json_format.MessageToDict(message, preserving_proto_field_name=True)
     try:
         edge: Edge = TypeAdapter(Edge).validate_python(values)
     except ValidationError as error:
         wrong = "; ".join(_say(e["loc"], e["msg"], e["input"]) for e in error.errors())
-        raise EdgeError(f"{name}: {wrong}") from None
+        raise EdgeValueError(wrong, file=name) from None
     for part, fields in NEEDS.items():
         section = getattr(edge, part)
         missing = [field for field in fields if section.enabled and not getattr(section, field)]
         if missing:
-            raise EdgeError(f"{name}: {part}.{missing[0]}: must be set where {part} is enabled")
+            raise EdgeValueError(
+                f"must be set where {part} is enabled", file=name, key=f"{part}.{missing[0]}"
+            )
     if edge.coordination.enabled and (problem := edge.coordination.problem()):
-        raise EdgeError(f"{name}: coordination.{problem}")
+        raise EdgeValueError(f"coordination.{problem}", file=name)
     return edge
 
 
+def _line(said: str) -> tuple[int, str]:
+    """protobuf's "LINE:COLUMN : what is wrong" apart; 0 where it names no line."""
+    found = re.fullmatch(r"(\d+):(\d+) ?: ?(.*)", said, re.DOTALL)
+    return (int(found[1]), f"column {found[2]}: {found[3]}") if found else (0, said)
+
+
 def _say(place: tuple[int | str, ...], message: str, value: object) -> str:
     path = ""
     for part in place:
@@ -56,9 +70,9 @@
     try:
         text = path.read_text(encoding="utf-8")
     except OSError as error:
-        raise EdgeError(f"{path}: {error.strerror}") from None
+        raise EdgeFileError(error.strerror, file=path) from None
     except UnicodeDecodeError as error:
-        raise EdgeError(f"{path}: not UTF-8 at byte {error.start}") from None
+        raise EdgeFileError(f"not UTF-8 at byte {error.start}", file=path) from None
     return parse(text, str(path))
 
 
@@ -77,11 +91,11 @@
         try:
             os.close(read)
             try:
-                answer: Edge | str = load(path)
-            except EdgeError as error:
-                answer = str(error)
+                answer: Edge | StackrouterError = load(path)
+            except StackrouterError as error:
+                answer = error
             except ImportError as error:
-                answer = f"{path}: needs {error.name}: install stackrouter[edge]"
+                answer = MissingExtraError(f"needs {error.name}: install stackrouter[edge]", file=path)
             with os.fdopen(write, "wb") as pipe:
                 pickle.dump(answer, pipe)
             code = 0
@@ -92,9 +106,9 @@
         data = pipe.read()
     os.waitpid(child, 0)
     if not data:
-        raise EdgeError(f"{path}: the reader of it failed")
+        raise EdgeReaderError("the reader of it failed", file=path)
     loaded = pickle.loads(data)  # from our own child alone
-    if isinstance(loaded, str):
-        raise EdgeError(loaded)
+    if isinstance(loaded, StackrouterError):
+        raise loaded
     assert isinstance(loaded, Edge)
     return loaded
--- a/stackrouter/edge/wiring.py
+++ b/stackrouter/edge/wiring.py
@@ -13,10 +13,11 @@
 from gevent.event import Event
 
 from stackrouter import log
-from stackrouter.config import Config, ConfigError
+from stackrouter.config import Config
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.edge.config import Edge
-from stackrouter.edge.load import EdgeError, load_apart
+from stackrouter.edge.load import load_apart
+from stackrouter.errors import LeftOutError, MissingExtraError, NoPolicyError, TraceWriteError, tell
 from stackrouter.fronts.sftp.config import settings as sftp_settings
 from stackrouter.net.pool import Pool
 
@@ -34,13 +35,10 @@
 
 
 class Extras:
-    """ConfigError: the file cannot be used, or a part of it needs what is not installed."""
+    """A ConfigError: the file cannot be used, or a part of it needs what is not installed."""
 
     def __init__(self, path: str, config: Config) -> None:
-        try:
-            self.edge: Edge = load_apart(Path(path))
-        except EdgeError as error:
-            raise ConfigError(str(error)) from None
+        self.edge: Edge = load_apart(Path(path))
         self.config = config
         self.sftp = sftp_settings(config, self.edge.sftp)
         self.live: Live | None = None
@@ -53,7 +51,7 @@
                 log.start(self.edge.log.format, config.name)
             self._make()
         except ImportError as error:
-            raise ConfigError(f"{path}: needs {error.name}: install stackrouter[edge]") from None
+            raise MissingExtraError(f"needs {error.name}: install stackrouter[edge]", file=path) from None
 
     def _make(self) -> None:
         edge, config = self.edge, self.config
@@ -70,19 +68,23 @@
                 config.name, config.settings, plans, classes, time.time_ns() // 1000, clock_us()
             )
             file = Path(edge.trace.file)
-            file.open("ab").close()  # OSError at the start, not once the engine runs
+            try:
+                file.open("ab").close()  # at the start, not once the engine runs
+            except OSError as error:
+                raise TraceWriteError(error.strerror, file=file, key="trace.file") from None
             self.recorder = Recorder(Sink(file, header, edge.trace.most_mb << 20, edge.trace.keep))
 
     def coordinate(self, discovery: Discovery, counters: Counters, engine: Engine,
                    take_policy: Callable[[str], None]) -> None:  # fmt: skip
-        """Join the other gateways. ConfigError: this one is not among the peers, or a library is missing."""
+        """Join the other gateways. A ConfigError: this one is no peer, or a library is missing."""
         if not self.edge.coordination.enabled:
             return
         try:
             from stackrouter.coord.calls import PolicyCalls
             from stackrouter.coord.join import join
         except ImportError as error:
-            raise ConfigError(f"coordination: needs {error.name}: install stackrouter[coord]") from None
+            what = f"needs {error.name}: install stackrouter[coord]"
+            raise MissingExtraError(what, key="coordination") from None
 
         conf = self.edge.coordination
         self.member = join(conf, self.config.name, discovery, counters, take_policy)
@@ -100,9 +102,9 @@
 
     def policy_call(self, call: str) -> str:
         """The door's answer to `policy ...`."""
-        return (
-            self.calls.answer(call) if self.calls is not None else "FAILURE no policy of a fleet is kept here"
-        )
+        if self.calls is None:
+            return f"FAILURE {NoPolicyError('no policy of a fleet is kept here').coded()}"
+        return self.calls.answer(call)
 
     def leave(self) -> None:
         """This gateway stops: its duties are given back at once, so that nobody waits for them to lapse."""
@@ -131,7 +133,7 @@
         if self.live is not None:
             print(self.live.line(), file=sys.stderr, flush=True)
         if self.recorder is not None and self.recorder.left_out:
-            logger.warning("trace: %d facts left out", self.recorder.left_out)
+            tell(logger, LeftOutError(f"{self.recorder.left_out} facts left out"), "trace")
 
     def close(self) -> None:
         if self.member is not None:
--- a/stackrouter/fleet/rig.py
+++ b/stackrouter/fleet/rig.py
@@ -21,12 +21,13 @@
 
 from stackrouter.coord.fence import Fence
 from stackrouter.coord.member import DUTIES
+from stackrouter.errors import PolicyBaseError, PolicyUnknownError, StartError
 from stackrouter.fleet.check import Action, Fault, PolicyVerdict, Served, Verdict, check, check_policy
 from stackrouter.fleet.proxy import Link, Way
 from stackrouter.fleet.schedule import Change, Schedule, Step, draw, draw_changes
 from stackrouter.standins.clients import StandinClients
 from stackrouter.standins.discovery import StandinDiscovery, entry
-from stackrouter.standins.fleet import Scene, StartError, habits, settings
+from stackrouter.standins.fleet import Scene, habits, settings
 from stackrouter.standins.node import Nature, StandinNode
 
 START_S = 20.0
@@ -304,7 +305,11 @@
                 self._ended(self._call(i, call))
 
     def _ended(self, answer: str) -> None:
-        kinds = {"SUCCESS": "committed", "FAILURE another": "overtaken", "FAILURE not known": "unknown"}
+        kinds = {
+            "SUCCESS": "committed",
+            f"FAILURE {PolicyBaseError.code}:": "overtaken",
+            f"FAILURE {PolicyUnknownError.code}:": "unknown",
+        }
         self.changes[
             next((kind for start, kind in kinds.items() if answer.startswith(start)), "refused")
         ] += 1
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -12,6 +12,7 @@
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.core.model import Inbox, Request, Result, Verdict
+from stackrouter.errors import ClientCommandError, tell
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
 from stackrouter.net.listener import MalformedError, Patience
@@ -168,7 +169,8 @@
             except BadCommandError as error:
                 self._counters.add("clients.bad_command")
                 if self._counters["clients.bad_command"] <= LOGGED_BAD:  # a bad client cannot fill the log
-                    log.warning("bad command %r: %s", parts[3][:120] if len(parts) > 3 else b"", error)
+                    fields = parts[3][:120] if len(parts) > 3 else b""
+                    tell(log, ClientCommandError(error), f"bad command {fields!r}")
                 slot.parts = deque((resp.error(f"ERR {error}"),))
             else:
                 slot.request, slot.id = request, parts[2]
--- a/stackrouter/fronts/sftp/config.py
+++ b/stackrouter/fronts/sftp/config.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from stackrouter.config import Config, ConfigError, address_of
+from stackrouter.config import Config, address_of
+from stackrouter.errors import EdgeNameError
 
 if TYPE_CHECKING:
     from stackrouter.edge.config import Sftp
@@ -79,5 +80,5 @@
 
 def _index(known: Mapping[str, int], name: str, field: str) -> int:
     if name not in known:
-        raise ConfigError(f"{field}: must be one of {', '.join(known)}, not {name!r}")
+        raise EdgeNameError(f"must be one of {', '.join(known)}, not {name!r}", key=field)
     return known[name]
--- a/stackrouter/log.py
+++ b/stackrouter/log.py
@@ -9,7 +9,7 @@
 import logging
 import time
 
-from stackrouter.config import ConfigError
+from stackrouter.errors import MissingExtraError, VariableError
 
 MOST_LINES = 50  # in each span
 SPAN_S = 10.0
@@ -37,18 +37,19 @@
 
 
 def start(form: str = "plain", gateway: str = "") -> None:
-    """`form`: plain (standard library), text or json (by structlog). ConfigError: not to be had."""
+    """`form`: plain (standard library), text or json (by structlog). A ConfigError: not to be had."""
     handler = logging.StreamHandler()
     handler.addFilter(Bound())
     if form == "plain":
         handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(name)s: %(message)s"))
     elif form not in ("text", "json"):
-        raise ConfigError(f"GW_LOG_FORMAT: must be plain, text or json, not {form!r}")
+        raise VariableError(f"must be plain, text or json, not {form!r}", key="GW_LOG_FORMAT")
     else:
         try:
             from stackrouter.logfmt import formatter
         except ImportError as error:
-            raise ConfigError(f"log lines as {form} need {error.name}: install stackrouter[edge]") from None
+            what = f"log lines as {form} need {error.name}: install stackrouter[edge]"
+            raise MissingExtraError(what) from None
 
         handler.setFormatter(formatter(form, gateway))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
--- a/stackrouter/logfmt.py
+++ b/stackrouter/logfmt.py
@@ -21,6 +21,11 @@
     "version",
     "digest",
     "by",
+    "code",
+    "at_file",
+    "at_line",
+    "at_key",
+    "at_address",
 )  # what a record may carry beside its text
 
 
--- a/stackrouter/net/admin.py
+++ b/stackrouter/net/admin.py
@@ -16,6 +16,8 @@
 import gevent
 from gevent import socket
 
+from stackrouter.errors import DoorAcceptError, DoorCallError, tell
+from stackrouter.net.door import listen_at
 from stackrouter.ops.door import Crowd
 
 if TYPE_CHECKING:
@@ -30,6 +32,7 @@
 ROOM_STEP_S = 0.002
 BACKLOG = 256  # a crowd that comes at once waits here: past it, a caller would try again only after 1 s
 
+BAD = DoorCallError("bad call").coded()
 Answer = Callable[[str], str]  # a call's word to its answer line, without the end of line
 
 
@@ -41,10 +44,7 @@
     def __init__(self, address: tuple[str, int], answer: Answer) -> None:
         self._answer = answer
         self._crowd: Crowd[Caller] = Crowd(MOST, CROWDED_S)
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind(address)
-        self._sock.listen(BACKLOG)
+        self._sock = listen_at(address, BACKLOG)
         self.address = self._sock.getsockname()
         gevent.spawn(self._accept)  # open until the process ends: status says FAILURE once it stops
 
@@ -53,7 +53,7 @@
             try:
                 sock, _ = self._sock.accept()
             except OSError as error:
-                log.warning("admin: %s", error)
+                tell(log, DoorAcceptError(error), "admin")
                 gevent.sleep(0.05)
                 continue
             while (wait_s := self._crowd.wait_s(time.monotonic())) > 0.0:
@@ -73,7 +73,7 @@
             with contextlib.suppress(HurriedError):
                 line = _read_line(sock)
             self._crowd.leave(cast("Caller", gevent.getcurrent()))
-            text = "FAILURE bad call" if line is None else self._answer(line)
+            text = f"FAILURE {BAD}" if line is None else self._answer(line)
             with contextlib.suppress(OSError):
                 sock.sendall(text.encode() + b"\n")
 
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -1,4 +1,4 @@
-"""The list of storage nodes, watched over HTTP."""
+"""The list of storage nodes, watched over HTTP. When what is asked is decided in membership.asking."""
 
 from __future__ import annotations
 
@@ -9,36 +9,62 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Protocol
 
-import gevent
 import httptools
 from gevent import socket
 from gevent.event import Event
 
 from rackseam.interface import ListKind, NodeEntry, NodeState
 from stackrouter.core.counters import Counters
-from stackrouter.net.backoff import Backoff
+from stackrouter.errors import (
+    DiscoveryError,
+    NamedTwiceError,
+    NoListError,
+    ShrunkError,
+    SilentError,
+    TurnedAwayError,
+    UnreachableError,
+    defect,
+    tell,
+)
+from stackrouter.membership.asking import Asking, Call, Pace, Verdict
 
 log = logging.getLogger(__name__)
 
-WAIT_MS = 2000  # how long a watch may stay silent. Short: what is told is taken as known 2 s after it
-# ... and how much longer its answer may take before the connection is given up. Long: a call that waits its
-# turn behind those of many gateways and is given up costs discovery as much as one that is answered.
-ANSWER_S = 2.5
-RETRY_S = 0.1  # rest after a failed call: within the 200 ms in which a watch goes on
+WAIT_US = 2_000_000  # how long a watch may stay silent. Short: what is told is taken as known 2 s after it
+# Where lists are asked for: how long an answer may take before the connection is given up. Long: a call that
+# waits its turn behind those of many and is given up costs discovery as much as one that is answered.
+ANSWER_US = 2_500_000
+LOST_US = 100_000  # rest after a failed call: within the 200 ms in which a watch goes on
+LOST_MOST_US = 1_000_000  # ... which has already waited, or costs little
+# Where lists are pushed, the agent on this machine answers at once and at no cost. After an outage a drain
+# that it has counts as told, and binds within the drain grace (250 ms): a call and a rest take less.
+AGENT_US, AGENT_LOST_US = 120_000, 80_000
+AGENT_WATCH_US = 500_000  # a watch's answer after its wait: late where this machine is busy
+AGENT_BODY_US = 1_000_000  # the rest of an answer: a long list on a busy machine
 # Calls a second that all gateways together make when they come back after being turned away: what is asked
 # beyond discovery's pace is turned away late, and delays all others by a turn.
 CALLS_S = 10.0
-REFUSED_MOST_S = 8.0  # most that calls that are turned away are apart
-LOST_MOST_S = (
-    1.0  # most that calls are apart that fail otherwise: such a call has already waited, or costs little
-)
+REFUSED_MOST_US = 5_200_000  # what discovery has counts as told 6 s later, heard or not
 REFUSALS = frozenset({429, 503})
 LARGEST = 4 << 20
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
+Read = tuple[int, bool, list[NodeEntry], dict[str, tuple[str, int]]]  # as Listing.read has it
 Told = Callable[[ListKind, int, Sequence[NodeEntry], dict[str, tuple[str, int]]], None]
 
 
+def pace(gateways: int, pushed: bool = False) -> Pace:
+    """As many gateways as there are come back after being turned away, on the mean, `CALLS_S` calls a second
+    together: waits are drawn between half of the longest and the longest."""
+    apart_us = round(gateways / CALLS_S * 1e6 * 4 / 3)
+    refused_us = min(REFUSED_MOST_US, max(LOST_US, apart_us))
+    turned_away = refused_us, REFUSED_MOST_US
+    if pushed:
+        agent = AGENT_WATCH_US, AGENT_US, AGENT_BODY_US, AGENT_LOST_US, AGENT_LOST_US
+        return Pace(WAIT_US, *agent, *turned_away, pushed=True)
+    return Pace(WAIT_US, ANSWER_US, ANSWER_US, 0, LOST_US, LOST_MOST_US, *turned_away)
+
+
 class Fleet(Protocol):
     """Other gateways, one of which asks discovery for all (coord.member); without it each asks for itself."""
 
@@ -58,7 +84,7 @@
         # Mapped once: a wall clock that is set later must not make old nodes look cold.
         self._offset_us = now_us - time.time_ns() // 1000
 
-    def read(self, raw: Any) -> tuple[int, bool, list[NodeEntry], dict[str, tuple[str, int]]]:
+    def read(self, raw: Any) -> Read:
         """Version, whether it is the whole list, entries and addresses; what is malformed raises."""
         entries, addresses = [], {}
         for item in raw.get("endpoints") or ():
@@ -79,10 +105,6 @@
         return int(raw["index"]), bool(raw.get("snapshot")), entries, addresses
 
 
-class RefusedError(Exception):
-    """Discovery is there and turned the call away: it has too many."""
-
-
 class _Response:
     def __init__(self) -> None:
         self.body, self.whole = bytearray(), False
@@ -90,7 +112,7 @@
     def on_body(self, body: bytes) -> None:
         self.body += body
         if len(self.body) > LARGEST:
-            raise ValueError("discovery's answer is too long")
+            raise NoListError("the answer is too long")
 
     def on_message_complete(self) -> None:
         self.whole = True
@@ -98,118 +120,157 @@
 
 class Discovery:
     def __init__(self, address: tuple[str, int], listing: Listing, counters: Counters, told: Told,
-                 known: int | None = None, seed: int = 0, gateways: int = 1) -> None:  # fmt: skip
+                 known: int | None = None, seed: int = 0, gateways: int = 1,
+                 pushed: bool = False) -> None:  # fmt: skip
         self.address, self.listing, self.counters, self.told = address, listing, counters, told
-        apart_s, rng = min(REFUSED_MOST_S, max(RETRY_S, gateways / CALLS_S)), random.Random(seed)
-        self._backoff = Backoff(apart_s, REFUSED_MOST_S, rng)
-        self._lost = Backoff(RETRY_S, LOST_MOST_S, rng)
+        self.asking = Asking(pace(gateways, pushed), random.Random(seed), known)
         self._size = 0  # nodes in the last whole list
+        self._failures = 0  # in a row
         self._sock: socket.socket | None = None
-        self._index = known  # the version that the gateway has; None: the next call fetches the whole list
         self._moved = Event()
         self.fleet: Fleet | None = None
 
     def follow(self, raw: dict[str, Any]) -> None:
-        """Another gateway hands on what discovery told it. Not taken before this one has a list of its own
-        that counts: the answer to its own call is on its way then."""
-        if self._index is not None:
-            self._take(raw)
+        """Another gateway hands on what discovery told it."""
+        read = self.listing.read(raw)
+        if self.asking.follows(read[0]):
+            self._take(*read)
 
     def refetch(self) -> None:
-        self._index = None
+        self.asking.refetch()
 
     def move(self, address: tuple[str, int]) -> None:
         """Ask there from now on: the pending watch is broken off and the whole list fetched at once."""
         self.address = address
-        self._index = None
+        self.asking.moved(_now_us())
         self._moved.set()
         self._hang_up()
 
     def run(self) -> None:
-        # The first call goes at once, also where many gateways start together: what discovery has counts
-        # as told to a gateway that did not ask, and a node drained meanwhile would still be sent work.
-        # Only calls that are turned away are spread.
         while True:
+            if (due_us := self.asking.due_us) is not None and (left_us := due_us - _now_us()) > 0:
+                self._moved.clear()
+                self._moved.wait(left_us / 1e6)
+                continue
             fleet = self.fleet
-            if fleet is not None and self._index is not None and (pause_s := fleet.wait_s()) > 0:
+            if fleet is not None and self.asking.index is not None and (pause_s := fleet.wait_s()) > 0:
+                self._moved.clear()
                 self._moved.wait(pause_s)
                 continue
+            call = self.asking.begin(_now_us())
             try:
-                self._call()
-            except RefusedError as error:
-                # No silence: discovery still knows the version, and what is new comes with the next answer.
-                # The whole list would cost it more, and every gateway would ask for it at once.
+                raw = self._make(call)
+                read = self.listing.read(raw)
+            except TurnedAwayError as error:
                 self.counters.add("discovery.refused")
-                log.info("discovery: %s", error)
-                self._moved.wait(self._backoff.refused())
+                tell(log, error, level=logging.INFO)
+                self.asking.refused(call, _now_us())
             except Exception as error:  # whatever it sends, the gateway goes on with the list it has
-                if self._moved.is_set():
+                if not self.asking.failed(call, _now_us()):
                     continue  # its watch was broken off
                 self.counters.add("discovery.failed")
-                log.warning("discovery: %s", error)
+                self._failures += 1
+                if not self._failures & (self._failures - 1):  # 1, 2, 4, ...: an outage must not fill the log
+                    tell(log, _what(error, self.address), f"discovery, {self._failures} in a row")
                 self._hang_up()
-                # After silence nobody knows what was missed.
-                self._index = None
-                self._moved.wait(self._lost.refused())
-
-    def _call(self) -> None:
-        self._moved.clear()
-        index = self._index
-        query = "" if index is None else f"?index={index}&wait={WAIT_MS}"
-        raw = json.loads(self._get(f"/v1/endpoints{query}", ANSWER_S + (WAIT_MS / 1000 if query else 0)))
-        if self._moved.is_set():
+            else:
+                try:
+                    self._answered(call, raw, read)
+                except Exception:  # no fault of discovery's, and no reason to watch no more
+                    self.counters.add("errors.discovery")
+                    defect(log, "a list that was told")
+
+    def _make(self, call: Call) -> Any:
+        """The answer's JSON."""
+        query = "" if call.index is None else f"?index={call.index}&wait={call.wait_us // 1000}"
+        return json.loads(self._get(f"/v1/endpoints{query}", call))
+
+    def _answered(self, call: Call, raw: dict[str, Any], read: Read) -> None:
+        verdict = self.asking.answered(call, _now_us(), read[0])
+        if verdict is Verdict.VOID:
             return  # the old address's answer: its version means nothing at the new one
-        if index is None or self._index is None or int(raw["index"]) >= self._index:
-            self._take(raw)  # else: what another gateway handed on meanwhile is newer
-        self._backoff.answered()
-        self._lost.answered()
+        if verdict is Verdict.TAKE:
+            self._take(*read)
         self.counters.add("discovery.answers")
+        self._failures = 0
         if self.fleet is not None:
-            self.fleet.told(None if raw.get("snapshot") else index, raw)
+            self.fleet.told(None if read[1] else call.index, raw)
 
-    def _take(self, raw: dict[str, Any]) -> None:
-        version, whole, entries, addresses = self.listing.read(raw)
+    def _take(self, version: int, whole: bool, entries: list[NodeEntry],
+              addresses: dict[str, tuple[str, int]]) -> None:  # fmt: skip
         self._doubt(version, whole, len(entries), len(addresses))
         if whole or entries:
             self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
-        self._index = version
 
     def _doubt(self, version: int, whole: bool, entries: int, nodes: int) -> None:
         """What is odd is said, counted and believed: a node told to be gone must get nothing new."""
         if nodes < entries:
             self.counters.add("discovery.named_twice")
-            log.warning("discovery: version %d names nodes twice, the last entry counts", version)
+            tell(
+                log,
+                NamedTwiceError(f"version {version} names nodes twice, the last entry counts"),
+                "discovery",
+            )
         if whole and nodes * 2 < self._size:
             self.counters.add("discovery.shrunk")
-            log.warning("discovery: version %d names %d nodes, %d before", version, nodes, self._size)
+            tell(log, ShrunkError(f"version {version} names {nodes} nodes, {self._size} before"), "discovery")
         self._size = nodes if whole else self._size
 
-    def _get(self, path: str, within_s: float) -> bytes:
-        with gevent.Timeout(within_s, TimeoutError("discovery is silent")):
-            sock = self._sock
-            if sock is None:
-                sock = self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                sock.connect(self.address)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            host = f"{self.address[0]}:{self.address[1]}"
-            sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
-            response = _Response()
-            parser = httptools.HttpResponseParser(response)
-            while not response.whole:
-                data = sock.recv(65536)
-                if not data:
-                    raise ConnectionResetError("discovery ended the connection")
-                parser.feed_data(data)
-            if not parser.should_keep_alive():
-                self._hang_up()
-            status = parser.get_status_code()
-            if status in REFUSALS:
-                raise RefusedError(f"turned away with {status}")
-            if status != 200:
-                raise ValueError(f"discovery answered {status}")
-            return bytes(response.body)
+    def _get(self, path: str, call: Call) -> bytes:
+        host, until_us = "{}:{}".format(*self.address), call.until_us
+        sock = self._sock
+        if sock is None:
+            sock = self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.settimeout(_left_s(until_us))
+            sock.connect(self.address)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(_left_s(until_us))
+        sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
+        response = _Response()
+        parser = httptools.HttpResponseParser(response)
+        while not response.whole:
+            sock.settimeout(_left_s(until_us))
+            data = sock.recv(65536)
+            if not data:
+                raise UnreachableError("the connection ended", address=host)
+            if until_us == call.until_us:
+                until_us = self.asking.heard(call, _now_us())
+            parser.feed_data(data)
+        if not parser.should_keep_alive():
+            self._hang_up()
+        status = parser.get_status_code()
+        if status in REFUSALS:
+            raise TurnedAwayError(f"turned away with {status}", address=host)
+        if status != 200:
+            raise NoListError(f"answered {status}", address=host)
+        return bytes(response.body)
 
     def _hang_up(self) -> None:
         if self._sock is not None:
             self._sock.close()
             self._sock = None
+
+
+def _now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def _left_s(until_us: int) -> float:
+    """What is left of a call's time; TimeoutError: nothing."""
+    if (left_us := until_us - _now_us()) <= 0:
+        raise TimeoutError
+    return left_us / 1e6
+
+
+def _what(error: Exception, address: tuple[str, int]) -> DiscoveryError:
+    """What went wrong with a call, in the operators' words."""
+    place = "{}:{}".format(*address)
+    match error:
+        case DiscoveryError():
+            return error
+        case TimeoutError():
+            return SilentError("discovery is silent", address=place)
+        case OSError():
+            return UnreachableError(error, address=place)
+        case _:
+            return NoListError(f"{type(error).__name__}: {error}", address=place)
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -21,6 +21,8 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.model import Inbox
+from stackrouter.errors import defect
+from stackrouter.net.door import listen_at
 from stackrouter.net.ring import Ring
 from stackrouter.ops.drain import Drain
 
@@ -154,7 +156,7 @@
             pass
         except Exception:
             self.listener.counters.add("errors.connection")
-            log.exception("client connection")
+            defect(log, "client connection")
         self.close()
 
     def _read(self) -> None:
@@ -228,7 +230,7 @@
     def __init__(self, address: tuple[str, int], most: int, counters: Counters,
                  session: Callable[[Callable[[], None]], Session], patience: Patience,
                  busy: bytes, inherited: int | None = None, drain: Drain | None = None) -> None:  # fmt: skip
-        """`inherited`: a listening socket's descriptor, used instead of binding `address`; else OSError.
+        """`inherited`: a listening socket's descriptor, used instead of binding `address`; else ListenError.
 
         At an upgrade the platform holds the clients' socket and both processes share it: binding the address
         again would fail, and a socket of our own would shut the old process's door.
@@ -239,13 +241,7 @@
         self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
         self.drain = drain or Drain()
-        if inherited is not None:
-            self._sock = socket.socket(fileno=inherited)
-        else:
-            self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._sock.bind(address)
-        self._sock.listen(BACKLOG)
+        self._sock = listen_at(address, BACKLOG, inherited)
         self.address = self._sock.getsockname()
         self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._sweep)]
 
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -18,6 +18,7 @@
 from rackseam.interface import NodeState, Outcome
 from stackrouter.core.counters import Counters
 from stackrouter.core.model import Attempt, Reply, Step
+from stackrouter.errors import NodeSocketsError, defect, tell
 from stackrouter.net.ring import Ring
 
 log = logging.getLogger(__name__)
@@ -155,7 +156,7 @@
             return
         except Exception:
             self.counters.add("errors.attempt")
-            log.exception("attempt at %s", attempt.node.name)
+            defect(log, f"attempt at {attempt.node.name}")
             reply = Reply(Outcome.RESET if attempt.may_have_run else Outcome.MOOT)
         _, connection = self._busy.pop(attempt, (None, None))
         if connection is not None:
@@ -244,7 +245,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
             self.counters.add("nodes.over_sockets")
-            log.warning("attempt at %s: %s", attempt.node.name, error)
+            tell(log, NodeSocketsError(error, address=attempt.node.name), "attempt")
             return Outcome.MOOT
         connection = Connection(sock, attempt.request.wire, attempt.address)
         self._count += 1
--- a/stackrouter/ops/retune.py
+++ b/stackrouter/ops/retune.py
@@ -15,26 +15,23 @@
 from typing import Any
 
 from rackseam.interface import RequestClass, Settings
+from stackrouter.errors import ManyClassesError, RetuneKeyError, RetuneValueError
 
 BIND_S = 1.2  # from the signal until clients send the new classes
 MOST_CLASSES = 256  # the table of classes grows by what files add; past this a file is refused
 
 
-class RetuneError(ValueError):
-    """The file cannot be taken; the text names the key and its line."""
-
-
 def check(raw: Any, text: str) -> None:
-    """What the start tolerates but a change of settings may not: raises RetuneError naming key and line."""
+    """What the start tolerates but a change of settings may not: raises a RetuneError naming key and line."""
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
-        raise RetuneError(f"line {_line(text, 'settings')}: key settings is missing or not an object")
+        raise RetuneKeyError("key is missing or not an object", line=_line(text, "settings"), key="settings")
     settings = raw["settings"]
     profiles = settings.get("Profiles")
     if not isinstance(profiles, list) or not profiles:
-        raise RetuneError(f"line {_line(text, 'Profiles')}: key Profiles is missing or empty")
+        raise RetuneKeyError("key is missing or empty", line=_line(text, "Profiles"), key="Profiles")
     for nth, profile in enumerate(profiles):
         if not isinstance(profile, dict) or not isinstance(profile.get("Name"), str):
-            raise RetuneError(f"line {_line(text, 'Profiles')}: Profiles[{nth}]: key Name is missing")
+            raise RetuneKeyError("key is missing", line=_line(text, "Profiles"), key=f"Profiles[{nth}].Name")
         for key in ("HardLimitUs", "AimUs"):
             if key in profile or key == "HardLimitUs":
                 _positive(profile.get(key), f"Profiles[{nth}].{key}", _line(text, key, nth))
@@ -52,7 +49,7 @@
     `table`. `writes_stated`: FamilyInfo.ClassWrites has one flag for each class. Where it has not (a file
     whose classes changed while the flags stayed, as seen on the operators' days), a class keeps the flag of
     the old class of its name, and one with a new name is unknown: the front then takes either command for
-    it. A class equal to one in the table takes that index; another is added at the end. Raises RetuneError
+    it. A class equal to one in the table takes that index; another is added at the end. ManyClassesError:
     past MOST_CLASSES.
     """
     classes, bound, unknown = list(table), {}, set()
@@ -66,13 +63,13 @@
         if not writes_stated and name not in old:
             unknown.add(bound[name])
     if len(classes) > MOST_CLASSES:
-        raise RetuneError(f"more than {MOST_CLASSES} classes over the changes since the start")
+        raise ManyClassesError(f"more than {MOST_CLASSES} classes over the changes since the start")
     return replace(new, classes=tuple(classes)), bound, unknown
 
 
 def _positive(value: Any, key: str, line: int) -> None:
     if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
-        raise RetuneError(f"line {line}: {key} must be a number over 0, not {value!r}")
+        raise RetuneValueError(f"must be a number over 0, not {value!r}", line=line, key=key)
 
 
 def _line(text: str, key: str, nth: int = 0) -> int:
--- a/stackrouter/trace/read.py
+++ b/stackrouter/trace/read.py
@@ -10,14 +10,11 @@
 from pathlib import Path
 
 from stackrouter.core import facts
+from stackrouter.errors import TraceReadError
 from stackrouter.trace.codec import Header, decode
 from stackrouter.trace.format import Damage, Place, block_at, blocks
 
 
-class TraceError(Exception):
-    """The file is no trace; the text names it and says why."""
-
-
 @dataclass(slots=True)
 class Run:
     """One run of one gateway: its blocks, which may lie in several files. `left_out`: facts not kept."""
@@ -63,7 +60,7 @@
 
 
 def open_traces(paths: Sequence[Path]) -> Traces:
-    """Look through all files once. TraceError: one cannot be read, or nothing in it is whole."""
+    """Look through all files once. TraceReadError: one cannot be read, or nothing in it is whole."""
     found, runs = Traces(), dict[Header, Run]()
     for path in paths:
         before = len(found.damage), sum(len(run.blocks) for run in runs.values())
@@ -72,9 +69,9 @@
                 with _mapped(path) as view:
                     _scan(path, view, found, runs)
         except OSError as error:
-            raise TraceError(f"{path}: {error.strerror}") from None
+            raise TraceReadError(error.strerror, file=path) from None
         if before[1] == sum(len(run.blocks) for run in runs.values()):
-            raise TraceError(f"{path}: not a trace: no whole block in it")
+            raise TraceReadError("not a trace: no whole block in it", file=path)
     found.runs = list(runs.values())
     for run in found.runs:
         # Older files are named after newer ones (.1, .2): the facts before each block tell the order.
--- a/stackrouter/trace/record.py
+++ b/stackrouter/trace/record.py
@@ -11,6 +11,7 @@
 from typing import BinaryIO
 
 from stackrouter.core import facts
+from stackrouter.errors import TraceWriteError, tell
 from stackrouter.trace.codec import Header, encode
 from stackrouter.trace.format import Place, pack, pack_index
 
@@ -94,9 +95,8 @@
                 # A full disk must not end the gateway, nor fill its log.
                 self.left_out += len(batch)
                 if not self._failed:
-                    log.warning(
-                        "trace: %s: %s; what can't be kept is counted", self.sink.path.name, error.strerror
-                    )
+                    what = f"{error.strerror}; what can't be kept is counted"
+                    tell(log, TraceWriteError(what, file=self.sink.path.name), "trace")
                 self._failed = True
 
     def close(self) -> None:
@@ -107,4 +107,4 @@
             try:
                 self.sink.close()
             except OSError as error:
-                log.warning("trace: %s: %s", self.sink.path.name, error.strerror)
+                tell(log, TraceWriteError(error.strerror, file=self.sink.path.name), "trace")
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,118 @@
+"""One clock for silence: from any state the news is asked for again before what was missed counts as told."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stackrouter.membership.asking import IN_TIME_US, TOLD_US, Asking, Verdict
+from stackrouter.net.discovery import pace
+
+MS, S = 1_000, 1_000_000
+# What discovery does with a call: news, nothing until the wait is over, the whole list slowly, half an answer
+# and then nothing, silence, 503 at once or late, a reset, an answer that is no list.
+WAYS = ("news", "quiet", "slow", "half", "silent", "503", "late503", "reset", "garbled")
+LATE = {"news": 5 * MS, "slow": 2 * S, "503": 3 * MS, "late503": 2 * S, "reset": 20 * MS, "garbled": 5 * MS}
+
+
+def play(asking: Asking, now: int, way: str, move_at: int | None) -> int:
+    """One call and what comes of it; returns the time at which the next one may begin. `move_at`: a SIGHUP so
+    long after the call began, or while it is rested."""
+    due = asking.due_us
+    assert due is not None
+    call = asking.begin(now := max(now, due))
+    late = LATE.get(way, call.until_us - now)
+    end = now + (call.wait_us if way == "quiet" else min(late, call.until_us - now))
+    if way == "slow" and late >= call.until_us - now:
+        way = "silent"  # for an agent that answers at once
+    if way == "half":
+        end = max(end, asking.heard(call, now + 5 * MS))
+        assert end <= call.until_us + asking.pace.body_us
+    if move_at is not None and now + move_at < end:
+        asking.moved(now + move_at)
+        assert asking.due_us == now + move_at
+        # What the old address still says means nothing.
+        assert asking.answered(call, end, 99) is Verdict.VOID and not asking.failed(call, end)
+        assert asking.index is None
+        return now + move_at
+    before = asking.index
+    if way in ("503", "late503"):
+        asking.refused(call, end)
+        assert asking.index == before, "turned away is no silence: changes only"
+    elif way in ("news", "quiet", "slow"):
+        version = (call.index or 0) + (way != "quiet")
+        assert asking.answered(call, end, version) is Verdict.TAKE
+        assert asking.due_us == end, "the watch goes on at once"
+    else:
+        assert asking.failed(call, end)
+        assert asking.index is None, "after silence nobody knows what was missed"
+    if move_at is not None and asking.due_us is not None and end < asking.due_us:
+        asking.moved(end)
+        assert (asking.due_us, asking.index) == (end, None)
+    assert asking.due_us is not None
+    # The clock: whatever this call missed, it began to miss at `now` at the earliest.
+    in_time = asking.due_us <= now + IN_TIME_US
+    assert in_time or way == "late503", (way, asking.due_us - now)
+    assert asking.due_us <= end + IN_TIME_US
+    return end
+
+
+class Clock(unittest.TestCase):
+    @given(st.integers(0, 2**31), st.sampled_from((1, 3, 40, 200)), st.booleans(), st.sampled_from((None, 7)),
+           st.lists(st.tuples(st.sampled_from(WAYS), st.none() | st.integers(0, 5 * S)),
+                    max_size=40))  # fmt: skip
+    def test_from_any_state_the_news_is_asked_for_in_time(
+        self, seed: int, gateways: int, pushed: bool, known: int | None, story: list[tuple[str, int | None]]
+    ) -> None:
+        asking, now = Asking(pace(gateways, pushed), random.Random(seed), known), 0
+        self.assertEqual(asking.due_us, 0, "the first call goes at once")
+        for way, move_at in story:
+            now = play(asking, now, way, move_at)
+            self.assertLessEqual(asking.asked_again_by(), now + IN_TIME_US)
+
+    @given(st.integers(0, 2**31), st.integers(0, 4 * S), st.sampled_from((1, 40, 200)))
+    def test_after_an_outage_of_8_s_the_whole_list_is_asked_for_within_the_clock(
+        self, seed: int, into: int, gateways: int
+    ) -> None:
+        asking = Asking(pace(gateways), random.Random(seed), 7)
+        over, now = into + 8 * S, 0
+        while now <= over:
+            now = play(asking, now, "silent" if now >= into else "quiet", None)
+        due = asking.due_us
+        assert due is not None
+        self.assertIsNone(asking.index)
+        self.assertLess(due, over + TOLD_US)
+        self.assertEqual(play(asking, now, "news", None), max(now, due) + LATE["news"])
+
+    @given(st.integers(0, 2**31), st.integers(0, 4 * S), st.booleans(), st.integers(0, 3 * S))
+    def test_where_lists_are_pushed_an_outage_is_over_within_the_drain_grace(
+        self, seed: int, into: int, restart: bool, length: int
+    ) -> None:
+        """A call made while the agent was silent is never answered: it was waited for 2.5 s, and a drain that
+        counted as told at the end of the outage was heard 1.4 s late (herd+mass, 25 sends)."""
+        asking = Asking(pace(200, pushed=True), random.Random(seed), 7)
+        length, now = length + 3 * S, 0
+        over = into + length
+        while (due := asking.due_us or 0) <= over:
+            if restart and into <= now < over - length // 2:
+                asking, restart = Asking(pace(200, pushed=True), random.Random(seed + 1), 7), False
+                asking.due_us = now  # a new process asks at its own first moment
+            now = play(asking, now, "silent" if now + 2 * S >= into else "quiet", None)
+        self.assertLess(due, over + 250 * MS)
+        self.assertEqual(asking.begin(due).wait_us, 0)
+
+    def test_what_another_gateway_hands_on_is_taken_only_over_a_list_that_counts(self) -> None:
+        asking = Asking(pace(3), random.Random(1), 7)
+        call = asking.begin(0)
+        self.assertTrue(asking.follows(12))
+        self.assertIs(asking.answered(call, MS, 9), Verdict.OLDER)
+        self.assertEqual(asking.index, 12)
+        asking.failed(asking.begin(MS), 2 * MS)
+        self.assertFalse(asking.follows(13))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -13,10 +13,11 @@
 from rackseam.interface import ListKind, NodeEntry, NodeState, Outcome
 from stackrouter.core import facts
 from stackrouter.core.model import Verdict
+from stackrouter.errors import TraceError
 from stackrouter.trace import facts_pb2 as pb
 from stackrouter.trace.codec import Header, Plan, decode, encode
 from stackrouter.trace.format import Damage, Place, blocks, pack, pack_index, read_index
-from stackrouter.trace.read import TraceError, merge, open_traces
+from stackrouter.trace.read import merge, open_traces
 from stackrouter.trace.record import BLOCK_FACTS, Recorder, Sink
 
 HEADER = Header("g1", 5_000_000, 1_000, 2, 8, (Plan("basic", 4.5), Plan("priority", 9.0)), ("read", "write"))
