--- a/stackrouter/cli/policy.py
+++ b/stackrouter/cli/policy.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import socket
+from dataclasses import asdict
 from pathlib import Path
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
@@ -13,6 +13,9 @@
 from stackrouter.config import address_of
 from stackrouter.errors import DoorUnreachableError
 
+if TYPE_CHECKING:
+    from stackrouter.coord.calls import PolicyStatus
+
 app = typer.Typer(no_args_is_help=True, help="The policy that the whole fleet serves under.")
 ANSWER_S = 2.0
 
@@ -25,13 +28,13 @@
     """Which version is committed, and which each member serves under."""
     told = _status(door)
     if as_json:
-        print_json(told)
+        print_json(asdict(told))
         return
-    out.print(f"newest version {told['version']}; this member serves under {told['serving']} "
-              f"since {told['since_s']:g} s, {'ready' if told['ready'] else 'not ready'}")  # fmt: skip
-    for name, (version, for_s) in sorted(told["members"].items()):
+    out.print(f"newest version {told.version}; this member serves under {told.serving} "
+              f"since {told.since_s:g} s, {'ready' if told.ready else 'not ready'}")  # fmt: skip
+    for name, (version, for_s) in sorted(told.members.items()):
         out.print(f"  {name}: version {version} for {for_s} s")
-    for number, digest, by in told["versions"]:
+    for number, digest, by in told.versions:
         out.print(f"  version {number}  {digest}  proposed by {by}")
 
 
@@ -42,14 +45,14 @@
     base: Base = None,
 ) -> None:
     """Change the settings everywhere or nowhere. The file is read by the member, on its machine."""
-    number = _status(door)["version"] if base is None else base
+    number = _status(door).version if base is None else base
     _change(door, f"policy propose {number} {file.resolve()}")
 
 
 @app.command()
 def rollback(door: Door, base: Base = None) -> None:
     """Go back to the version before the newest, as a new version."""
-    number = _status(door)["version"] if base is None else base
+    number = _status(door).version if base is None else base
     _change(door, f"policy rollback {number}")
 
 
@@ -59,12 +62,19 @@
     raise typer.Exit(0 if kind == "SUCCESS" else NOT_SO)
 
 
-def _status(door: str) -> dict[str, Any]:
+def _status(door: str) -> PolicyStatus:
+    """Checked as it is read: what answers there may be no member, or another version of one."""
+    from pydantic import TypeAdapter, ValidationError
+
+    from stackrouter.coord.calls import PolicyStatus
+
     kind, told = _call(door, "policy status")
     if kind != "SUCCESS":
         raise DoorUnreachableError(told, address=door)
-    answer: dict[str, Any] = json.loads(told)
-    return answer
+    try:
+        return TypeAdapter(PolicyStatus).validate_json(told)
+    except ValidationError as error:
+        raise DoorUnreachableError(f"no policy status: {error}", address=door) from None
 
 
 def _call(door: str, call: str) -> tuple[str, str]:
--- a/stackrouter/coord/calls.py
+++ b/stackrouter/coord/calls.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import json
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 from stackrouter.config import with_policy
@@ -32,6 +33,20 @@
 USAGE = "policy status | policy propose BASE FILE | policy rollback BASE"
 
 
+@dataclass(frozen=True, slots=True)
+class PolicyStatus:
+    """What the door answers to `policy status`, as JSON. `version`: the newest committed; `members`: what
+    each serves under and for how many seconds; `versions`: number, digest, who proposed it."""
+
+    version: int
+    serving: int
+    since_s: float
+    in_touch: bool
+    ready: bool
+    members: dict[str, tuple[int, int]]
+    versions: list[tuple[int, str, str]]
+
+
 class PolicyCalls:
     def __init__(self, member: Member, after_us: int) -> None:
         self._member, self._after_us = member, after_us
@@ -54,16 +69,16 @@
         assert switch is not None
         versions = member.store.policies()
         now = member.clock()
-        told = {
-            "version": versions[-1].number if versions else OWN,
-            "serving": switch.serving.number,
-            "since_s": round((now - switch.since) / 1e6, 1),
-            "in_touch": switch.in_touch(now),
-            "ready": switch.ready(now),
-            "members": member.store.present(),
-            "versions": [[v.number, v.digest[:12], v.by] for v in versions],
-        }
-        return json.dumps(told, separators=(",", ":"))
+        told = PolicyStatus(
+            version=versions[-1].number if versions else OWN,
+            serving=switch.serving.number,
+            since_s=round((now - switch.since) / 1e6, 1),
+            in_touch=switch.in_touch(now),
+            ready=switch.ready(now),
+            members=member.store.present(),
+            versions=[(v.number, v.digest[:12], v.by) for v in versions],
+        )
+        return json.dumps(asdict(told), separators=(",", ":"))
 
     def _before(self, base: int) -> str:
         versions = {v.number: v for v in self._member.store.policies()}
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,8 +5,10 @@
 import errno
 import json
 import os
+import socket
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import pytest
@@ -88,6 +90,31 @@
         assert done.stderr.startswith("stackrouter: SR-") and done.stderr.count("\n") == 1, done.stderr
 
 
+def test_a_door_that_is_no_members_is_named_not_believed() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        door = "{}:{}".format(*server.getsockname())
+
+        def stranger() -> None:
+            sock, _ = server.accept()
+            with sock:
+                sock.recv(256)
+                sock.sendall(b'SUCCESS {"version": "newest"}\n')
+
+        threading.Thread(target=stranger, daemon=True).start()
+        done = run("policy", "status", "--door", door)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
+    assert done.stderr.startswith(f"stackrouter: SR-INPUT-DOOR: {door}: no policy status: ")
+
+
+def test_explain_says_what_a_code_means_and_what_to_do() -> None:
+    done = run("explain", "sr-discovery-silent")
+    assert (
+        done.returncode == 0 and "was not answered in time" in done.stdout and "drain no nodes" in done.stdout
+    )
+    assert len(json.loads(run("explain", "--json").stdout)) > 40
+    assert run("explain", "SR-NONE").returncode == 2
+
+
 @pytest.mark.parametrize(
     ("environ", "error"),
     [
