--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -27,6 +27,7 @@
     NotReadyError,
     PolicyInForceError,
     StackrouterError,
+    StartSystemError,
     StoppingError,
     VariableError,
     tell,
@@ -225,8 +226,9 @@
             extras.attach(gateway.engine, gateway.pool)
             extras.coordinate(gateway.discovery, gateway.counters, gateway.engine, gateway.take_policy)
             gateway.extras = extras
-    except StackrouterError as error:
-        print(f"stackrouter: {error.whole()}", file=sys.stderr)
+    except (StackrouterError, OSError) as error:
+        wrong = error if isinstance(error, StackrouterError) else StartSystemError(error)
+        print(f"stackrouter: {wrong.whole()}", file=sys.stderr)
         return EXIT_CONFIG
     gevent.signal_handler(signal.SIGTERM, gateway.terminate)
     gevent.signal_handler(signal.SIGINT, gateway.terminate)
--- a/stackrouter/cli/policy.py
+++ b/stackrouter/cli/policy.py
@@ -11,7 +11,7 @@
 
 from stackrouter.cli.shared import NOT_SO, AsJson, out, print_json
 from stackrouter.config import address_of
-from stackrouter.errors import DoorUnreachableError
+from stackrouter.errors import DoorSaidNoError, DoorUnreachableError
 
 if TYPE_CHECKING:
     from stackrouter.coord.calls import PolicyStatus
@@ -70,7 +70,7 @@
 
     kind, told = _call(door, "policy status")
     if kind != "SUCCESS":
-        raise DoorUnreachableError(told, address=door)
+        raise DoorSaidNoError(told, address=door)
     try:
         return TypeAdapter(PolicyStatus).validate_json(told)
     except ValidationError as error:
--- a/stackrouter/coord/member.py
+++ b/stackrouter/coord/member.py
@@ -202,7 +202,7 @@
             return
         try:
             self._take_policy(version.body)
-        except ConfigError as error:  # what was checked where it was proposed may still not fit here
+        except (ConfigError, ValueError) as error:  # checked where it was proposed, it may not fit here
             self.counters.add("policy.failed")
             tell(log, PolicyTakeError(error), f"policy.failed version={version.number}", logging.ERROR)
             switch.took(version, now, False)
--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -140,6 +140,13 @@
     """A listening socket cannot be had at the address that the configuration gives."""
 
 
+class StartSystemError(
+    ConfigError, code="SR-CONFIG-SYSTEM",
+    do="See what the system says of the file or address quoted: rights, room on the disk, descriptors.",
+):  # fmt: skip
+    """The system refused something that the start needs."""
+
+
 class MissingExtraError(
     ConfigError,
     code="SR-CONFIG-EXTRA",
@@ -478,6 +485,14 @@
     """A member's door cannot be reached, or does not answer as one."""
 
 
+class DoorSaidNoError(
+    InputError,
+    code="SR-INPUT-REFUSED",
+    do="Look up the code that the member answered with: `stackrouter explain CODE`.",
+):
+    """A member's door was reached and did not do what was asked."""
+
+
 class CodeError(InputError, code="SR-INPUT-CODE", do="Run `stackrouter explain` for a list of all codes."):
     """There is no error with this code."""
 
--- a/stackrouter/membership/asking.py
+++ b/stackrouter/membership/asking.py
@@ -58,10 +58,8 @@
     """`index`: what changed since then, after a wait of `wait_us` at most; None: the whole list, at once.
     `until_us`: silent from then on, unless an answer has begun."""
 
-    number: int
     index: int | None
     wait_us: int
-    begun_us: int
     until_us: int
 
 
@@ -79,16 +77,15 @@
         self.index = index  # the version that this gateway has; None: the next call fetches the whole list
         self.due_us: int | None = 0
         self._call: Call | None = None
-        self._made = 0
         self._lost, self._refused = pace.lost_us, pace.refused_us
         self._sure = not pace.pushed  # discovery answers: a call may wait for news
 
     def begin(self, now: int) -> Call:
         """The call to make now. One that was under way is given up."""
-        pace, self._made, self.due_us = self.pace, self._made + 1, None
+        pace, self.due_us = self.pace, None
         wait = pace.wait_us if self.index is not None and self._sure else 0
         until = now + wait + (pace.watch_us if wait else pace.call_us)
-        self._call = Call(self._made, self.index, wait, now, until)
+        self._call = Call(self.index, wait, until)
         return self._call
 
     def heard(self, call: Call, now: int) -> int:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,7 +18,7 @@
 # What no operator sees. Peers' mistakes and control flow: caught where they are answered on the wire.
 WITHIN = {
     "ShortError", "ProtocolError", "MalformedError", "BadCommandError", "PacketError", "RequestError",
-    "HurriedError", "ConnectionResetError", "BufferError", "OSError", "GreenletExit", "Exit",
+    "HurriedError", "ConnectionResetError", "BufferError", "OSError", "TimeoutError", "GreenletExit", "Exit",
 }  # fmt: skip
 # Where a bare ValueError tells one module of ours that bytes or arguments are no good, and is caught there.
 VALUE_ERRORS = {"accounts/sketch.py", "trace/codec.py", "trace/format.py"}
@@ -35,12 +35,13 @@
     """Raises and log lines that go past the table."""
     coded = {cls.__name__ for cls in TABLE.values()}
     for node in ast.walk(tree):
-        if isinstance(node, ast.Raise) and isinstance(node.exc, ast.Call):
-            called = node.exc.func
+        called = node.exc if isinstance(node, ast.Raise) else None
+        called = called.func if isinstance(called, ast.Call) else called
+        if isinstance(called, ast.Attribute) or (isinstance(called, ast.Name) and called.id[0].isupper()):
             kind = called.attr if isinstance(called, ast.Attribute) else getattr(called, "id", "?")
             known = kind in coded or kind in WITHIN or kind == "within" or (name, kind) in MODEL
             if not known and not (kind == "ValueError" and name in VALUE_ERRORS):
-                yield f"{name}:{node.lineno}: raise {kind}"
+                yield f"{name}:{called.lineno}: raise {kind}"
         if (
             isinstance(node, ast.Call)
             and isinstance(node.func, ast.Attribute)
