--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -60,7 +60,81 @@
     return end
 
 
+def failing(asking: Asking, now: int, way: str) -> int:
+    """One call that fails this way; returns when it had."""
+    call = asking.begin(now := max(now, asking.due_us or 0))
+    if way == "silent":
+        asking.failed(call, call.until_us)
+        return call.until_us
+    if way == "slow":  # it begins in time and is never whole
+        end = asking.heard(call, call.until_us - 1)
+        asking.failed(call, end)
+        return end
+    end = min(now + 5 * MS, call.until_us)
+    if way == "refused":
+        asking.refused(call, end)
+    else:
+        asking.failed(call, end)
+    return end
+
+
 class Clock(unittest.TestCase):
+    @given(
+        st.integers(0, 2**31),
+        st.sampled_from((1, 5, 40, 200)),
+        st.sampled_from((None, 7)),
+        st.lists(st.sampled_from(("quiet", "silent", "slow", "reset", "refused")), max_size=12),
+        st.integers(0, 6 * S),
+        st.lists(st.sampled_from(("reset", "refused", "refused", "silent", "slow")), max_size=4),
+        st.none() | st.integers(0, 3),
+    )
+    def test_news_is_had_within_the_clock_whatever_calls_failed_or_were_refused(
+        self, seed: int, gateways: int, known: int | None, before: list[str], into: int, after: list[str],
+        moved: int | None,
+    ) -> None:  # fmt: skip
+        """End to end, where lists are asked for: from a change on, that discovery has and can be reached for,
+        two more calls may fail, one of them by silence, or three that are answered at once by a no."""
+        asking, now, begun = Asking(pace(gateways), random.Random(seed), known), 0, 0
+        for way in before:
+            if way == "quiet":
+                call = asking.begin(begun := max(now, asking.due_us or 0))
+                asking.answered(call, now := begun + call.wait_us, 7)
+            else:
+                begun = max(now, asking.due_us or 0)
+                now = failing(asking, now, way)
+        # The change comes while the last call is under way, or in the rest behind it.
+        change = min(begun + into, asking.due_us or now)
+        slow = [way for way in after if way in ("silent", "slow")][:1]
+        quick = [way for way in after if way not in ("silent", "slow")][: 2 - len(slow) if slow else 3]
+        for n, way in enumerate(quick[:1] + slow + quick[1:]):
+            now = failing(asking, now, way)
+            if n == moved:
+                asking.moved(now)
+        call = asking.begin(now := max(now, asking.due_us or 0))
+        asking.answered(call, now + 5 * MS, 8)
+        # What was under way at the change and failed may have begun a whole call before it.
+        self.assertLessEqual(now + 5 * MS, max(change, begun) + TOLD_US)
+
+    @given(
+        st.integers(0, 2**31),
+        st.sampled_from((1, 5, 40, 200)),
+        st.lists(st.sampled_from(("reset", "refused", "silent", "slow")), max_size=4),
+        st.integers(0, 30),
+    )
+    def test_an_agent_that_fails_or_refuses_is_asked_again_at_once(
+        self, seed: int, gateways: int, after: list[str], refusals: int
+    ) -> None:
+        """One that refused was asked again after up to 5.2 s, ever rarer, in a fleet of 200 also at first."""
+        asking, now = Asking(pace(gateways, pushed=True), random.Random(seed), 7), 0
+        for _ in range(refusals):
+            now = failing(asking, now, "refused")
+        change = now
+        for way in after:
+            now = failing(asking, now, way)
+        call = asking.begin(now := max(now, asking.due_us or 0))
+        asking.answered(call, now + 5 * MS, 8)
+        self.assertLess(now + 5 * MS, change + TOLD_US)
+
     @given(st.integers(0, 2**31), st.sampled_from((1, 3, 40, 200)), st.booleans(), st.sampled_from((None, 7)),
            st.lists(st.tuples(st.sampled_from(WAYS), st.none() | st.integers(0, 5 * S)),
                     max_size=40))  # fmt: skip
