Write no attempt whose client has gone, whose key may be forgotten or whose node moved

Ruled out by tests: the node draining or gone meanwhile; a client that goes while a repeat waits; given up while a kept connection settles; what may not be repeated after a reset (not sent) and after a BUSY (sent). Change: Request.may_run holds effect and window, counted from the first attempt's sending with its connect; may_write asks it, the client and the node, and the pool the address, just before the first byte. A greenlet that wakes from settling after it was given up ends there.

--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -22,6 +22,7 @@
     Arrival,
     Cancel,
     Disconnect,
+    Effect,
     Event,
     Fail,
     FetchList,
@@ -204,6 +205,9 @@
             r.repeat, r.write,
         )  # fmt: skip
         self.requests[r.id] = r
+        cls = self.settings.classes[r.request_class]
+        if cls.effect is not Effect.SAFE:
+            r.repeat_us = cls.key_ttl_us if cls.effect is Effect.KEYED else 0
         # Backstop: whatever goes wrong in between, the request gets its answer within the slack.
         overdue = r.deadline_us + self.settings.answer_slack_us // 2
         r.backstop = self._wheel.add(overdue, lambda: self._overdue(r))
@@ -254,6 +258,8 @@
         attempt.live = False
         drop(attempt.timeout)
         del r.out[attempt.number]
+        if attempt.may_have_run and reply.outcome is not Outcome.FULL:
+            r.ran_us = attempt.sent_us if r.ran_us is None else min(r.ran_us, attempt.sent_us)
         self.counters.add(f"attempts.{reply.outcome.value}")
         if self.tap is not None:
             self.tap(facts.Ended(
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -89,12 +89,25 @@
     write: bool = False
     port: int = 0  # the node port of that wire; 0: the one discovery gives
     # Kept by the engine alone:
+    repeat_us: int | None = (
+        None  # for so long after the first attempt that may have run another may; None: ever
+    )
+    ran_us: int | None = None  # when the first that has ended and may have run was sent
     id: str = ""
     attempts: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     answered: bool = False
     backstop: Timer | None = None
 
+    def may_run(self, now_us: int) -> bool:
+        """Whether one more attempt does no harm: none may have run, or its idempotency key is still known."""
+        if self.repeat_us is None:
+            return True
+        ran = [a.sent_us for a in self.out.values() if a.may_have_run]
+        if self.ran_us is not None:
+            ran.append(self.ran_us)
+        return not ran or now_us < min(ran) + self.repeat_us
+
 
 @dataclass(slots=True, eq=False)
 class Node:
@@ -121,9 +134,11 @@
     may_have_run: bool = False
     timeout: Timer | None = None
 
-    def may_write(self) -> bool:
-        """Guards the first byte: the list may have changed, or the client gone, while it connected."""
-        return self.live and self.node.ready
+    def may_write(self, now_us: int) -> bool:
+        """Guards the first byte: while it connected the list may have changed, the client may have gone (also
+        where an attempt may not be cancelled), or the time in which a repeat does no harm may have passed."""
+        r = self.request
+        return self.live and not r.answered and self.node.ready and r.may_run(now_us)
 
     @property
     def address(self) -> tuple[str, int]:
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -34,6 +34,10 @@
 SWEEP_S = 0.5  # how often idle connections are looked over
 
 
+def _now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
 class Reuse:
     """How kept connections fare, by how long they were idle, against new ones.
 
@@ -170,19 +174,19 @@
             if isinstance(opened, Outcome):
                 return Reply(opened)
             connection = opened
-        if not attempt.may_write():
-            # Guards the drain rule: the node was told to be draining or gone while this waited.
+        if not attempt.may_write(_now_us()) or connection.address != attempt.address:
+            # Guards the drain rule: the node was told to drain, to be gone or elsewhere while this waited.
             self.counters.add("attempts.not_written")
             self._keep(attempt, connection)
             return Reply(Outcome.MOOT)
         began, exchange = time.monotonic(), attempt.request.exchange()
         idle_s = None if fresh else began - connection.used_at
-        wait_us = max(0, attempt.deadline_us - time.monotonic_ns() // 1000)
+        wait_us = max(0, attempt.deadline_us - _now_us())
         try:
             step: Step | Reply | None = exchange.start(wait_us, fresh)
             while not isinstance(step, Reply):
                 if step is not None:
-                    if step.effective and not attempt.may_write() and not attempt.may_have_run:
+                    if step.effective and not attempt.may_have_run and not attempt.may_write(_now_us()):
                         return Reply(Outcome.MOOT)
                     connection.sock.sendall(step.data)
                     attempt.may_have_run = attempt.may_have_run or step.effective
@@ -229,6 +233,8 @@
             self._busy[attempt] = (self._busy[attempt][0], connection)
             if connection.used_at > settled:
                 gevent.sleep(max(0.0, connection.used_at + SETTLE_S - time.monotonic()))
+                if attempt not in self._busy:
+                    raise GreenletExit  # given up, and the connection closed, while this waited
             unused_s = time.monotonic() - connection.used_at
             usable = unused_s < self.idle_s and self.reuse.trusted(unused_s)
             if usable and connection.address == attempt.address and connection.usable():
--- /dev/null
+++ b/tests/test_node_crossings.py
@@ -0,0 +1,203 @@
+"""What happens to a client, a node or a list while an attempt waits to be written (see tests.crossing)."""
+
+from __future__ import annotations
+
+import struct
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from rackseam.interface import Effect, ListKind, NodeEntry, NodeState, Plan, RequestClass, Settings
+from stackrouter.core.counters import Counters
+from stackrouter.core.engine import Engine, clock_us
+from stackrouter.core.model import Attempt, Request, Result, Verdict
+from stackrouter.fronts.platform.node import Command
+from stackrouter.net.pool import Pool
+from tests.crossing import PATIENCE_S, TIMES, wait_until
+
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+SERVED = b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n"
+CLASSES = (
+    RequestClass(aim_us=2_000_000, deadline_us=4_000_000),
+    RequestClass(
+        aim_us=2_000_000, deadline_us=4_000_000, effect=Effect.KEYED, group="cell", key_ttl_us=300_000
+    ),
+    RequestClass(aim_us=2_000_000, deadline_us=4_000_000, effect=Effect.UNSAFE),
+)
+SAFE, KEYED, UNSAFE = range(3)
+
+
+class Nodes(unittest.TestCase):
+    """Engine, pool and a node on loopback; a gate stands where a connection has come up late."""
+
+    def setUp(self) -> None:
+        self.commands: list[bytes] = []
+        self.replies: list[bytes] = []  # in turn; b"" breaks the connection; none left: no answer
+        self.server = StreamServer(("127.0.0.1", 0), self.node)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.address = ("127.0.0.1", int(self.server.server_port or 0))
+        self.at_gate, self.gate = Event(), Event()
+        self.gate.set()
+
+    def node(self, sock: socket.socket, _: object) -> None:
+        while data := sock.recv(65536):
+            self.commands.append(data)
+            if self.replies:
+                if not (reply := self.replies.pop(0)):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                    return
+                sock.sendall(reply)
+
+    def serves(self, sock: socket.socket, _: object) -> None:
+        if sock.recv(65536):
+            sock.sendall(SERVED)
+
+    def start(self, cancel: bool = True) -> Engine:
+        settings = Settings(classes=CLASSES, plans=(Plan(),), max_attempts=3, may_cancel=cancel, step_us=2000)
+        engine = Engine(settings, 100, Counters())
+        pool = Pool(10, 1 << 20, 250_000, 15_000_000, engine.counters, engine.ended)
+        engine.transport = pool
+        connect = pool._connect
+
+        def late(attempt: Attempt) -> Any:
+            connection = connect(attempt)
+            self.at_gate.set()
+            self.gate.wait()
+            return connection
+
+        self.enterContext(mock.patch.object(pool, "_connect", late))
+        greenlet = gevent.spawn(engine.run)
+        self.addCleanup(greenlet.kill)
+        self.told(engine, "n", NodeState.READY, ListKind.CACHED)
+        self.pool = pool
+        return engine
+
+    def told(self, engine: Engine, name: str, state: NodeState, kind: ListKind = ListKind.DELTA,
+             address: tuple[str, int] | None = None) -> None:  # fmt: skip
+        engine.listed(kind, 1, [NodeEntry(name, 0, state)], {name: address or self.address})
+
+    def ask(self, engine: Engine, cls: int = SAFE) -> tuple[Request, list[Result]]:
+        results: list[Result] = []
+        command = Command(b"BLK.READ", b"0" * 16, b"r", (("d", "4000"),), ())
+        request = Request(cls, 0, "v", 1.0, 0, 1, "0" * 16, clock_us() + 4_000_000, command.exchange,
+                          results.append, "platform")  # fmt: skip
+        engine.submit(request)
+        return request, results
+
+    def held_at_gate(self, engine: Engine, cls: int = SAFE) -> tuple[Request, list[Result]]:
+        self.at_gate.clear()
+        self.gate.clear()
+        asked = self.ask(engine, cls)
+        self.assertTrue(self.at_gate.wait(PATIENCE_S))
+        return asked
+
+    def let_go(self, engine: Engine) -> None:
+        gevent.sleep(0.002)
+        self.gate.set()
+        gevent.sleep(0.01)
+
+    def test_what_happens_while_a_connection_comes_up_late_keeps_the_attempt_from_being_written(self) -> None:
+        """A client that went was sent on where the settings allow no cancel."""
+        for cancel in (True, False):
+            engine = self.start(cancel)
+            for i in range(TIMES):
+                with self.subTest("the client goes", cancel=cancel, i=i):
+                    request, _ = self.held_at_gate(engine)
+                    engine.withdraw(request)
+                    self.let_go(engine)
+                    self.assertEqual(self.commands, [])
+                    self.assertFalse(engine.requests)
+                    self.pool.close_all_idle()
+            for state in (NodeState.DRAINING, NodeState.GONE):
+                with self.subTest("the node", state=state):
+                    request, results = self.held_at_gate(engine)
+                    self.told(engine, "n", state)
+                    self.let_go(engine)
+                    self.assertEqual(self.commands, [])
+                    engine.withdraw(request)
+                    self.told(engine, "n", NodeState.READY, ListKind.FULL)
+                    self.pool.close_all_idle()
+
+    def test_an_attempt_whose_node_has_moved_meanwhile_is_not_written_to_where_it_was(self) -> None:
+        engine = self.start()
+        other = StreamServer(("127.0.0.1", 0), self.serves)
+        other.start()
+        self.addCleanup(other.stop)
+        _, results = self.held_at_gate(engine)
+        self.told(engine, "n", NodeState.READY, address=("127.0.0.1", int(other.server_port or 0)))
+        self.let_go(engine)
+        wait_until(lambda: bool(results), "answered from the new address")
+        self.assertEqual((self.commands, results[0].verdict), ([], Verdict.SERVED))
+
+    def test_a_repeat_is_not_written_once_its_key_may_be_forgotten_however_late_it_connects(self) -> None:
+        """The window was looked at when the repeat was decided; its connection came up after the window."""
+        engine = self.start()
+        self.replies = [b""]
+        _, results = self.ask(engine, KEYED)
+        self.at_gate.wait(PATIENCE_S)
+        began = time.monotonic()
+        self.at_gate.clear()
+        self.gate.clear()
+        self.assertTrue(self.at_gate.wait(PATIENCE_S), "the repeat connects")
+        wait_until(lambda: time.monotonic() > began + 0.31, "the window is over")
+        self.let_go(engine)
+        wait_until(lambda: bool(results), "answered")
+        self.assertEqual((len(self.commands), results[0].verdict), (1, Verdict.FAILED))
+
+    def test_a_repeat_within_the_window_is_written(self) -> None:
+        engine = self.start()
+        self.replies = [b"", SERVED]
+        _, results = self.ask(engine, KEYED)
+        wait_until(lambda: bool(results), "answered")
+        self.assertEqual((len(self.commands), results[0].verdict), (2, Verdict.SERVED))
+
+    def test_what_may_not_be_repeated_goes_again_only_if_it_never_ran(self) -> None:
+        engine = self.start()
+        for reply, sent, verdict in ((b"", 1, Verdict.FAILED), (b"-BUSY\r\n", 2, Verdict.SERVED)):
+            self.commands.clear()
+            self.replies = [reply, SERVED]
+            _, results = self.ask(engine, UNSAFE)
+            wait_until(lambda r=results: bool(r), "answered")  # type: ignore[misc]
+            self.assertEqual((len(self.commands), results[0].verdict), (sent, verdict))
+
+    def test_a_client_that_goes_while_a_repeat_waits_is_not_sent_on(self) -> None:
+        engine = self.start()
+        for i in range(TIMES):
+            with self.subTest(i):
+                self.commands.clear()
+                self.replies = [b"-BUSY\r\n"]  # the node is left alone a while, and the request waits
+                request, results = self.ask(engine)
+                wait_until(lambda r=request: r.attempts == 1 and not r.out, "turned away")  # type: ignore[misc]
+                engine.withdraw(request)
+                wait_until(lambda: not engine.requests, "forgotten")
+                self.assertEqual((len(self.commands), results), (1, []))
+        gevent.sleep(0.3)  # past every such wait
+        self.assertEqual(len(self.commands), 1)
+
+    def test_given_up_while_it_waits_for_an_answer_to_settle_nothing_is_written(self) -> None:
+        engine = self.start()
+        for i in range(TIMES):
+            with self.subTest(i):
+                self.replies = [SERVED]
+                _, results = self.ask(engine)
+                wait_until(lambda r=results: bool(r), "served")  # type: ignore[misc]
+                sent = len(self.commands)
+                # At once behind the answer: the kept connection is waited on, and given up in that wait.
+                with mock.patch("stackrouter.net.pool.SETTLE_S", 0.02):
+                    request, _ = self.ask(engine)
+                    wait_until(lambda: bool(self.pool._busy), "taken up")
+                    engine.withdraw(request)
+                    gevent.sleep(0.022)
+                self.assertEqual(len(self.commands), sent)
+                self.assertEqual(engine.counters["errors.attempt"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
