Close client connections lingeringly, and see a client go that is not being read from

Ruled out: a request read after our end and sent on (never parsed again); memory (a lingering close ends after 0.5 s or 512 KiB; over the cap eight linger at most). Change: one orderly close (`end`): our sending ends, what comes is discarded, and the descriptor is freed when the client ends too. At the hard cap those that linger go first. Half a request is not cut for another's sake within 0.5 s. While a client is not read from, its hang-up is looked for every 40 ms. Counter clients.gone_unread.

--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -15,7 +15,7 @@
 from stackrouter.errors import ClientCommandError, tell
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
-from stackrouter.net.listener import MalformedError, Patience
+from stackrouter.net.listener import INBOX, MalformedError, Patience
 from stackrouter.ops.drain import Drain
 
 WIRE = "platform"
@@ -147,7 +147,9 @@
         while not self.full():
             try:
                 found = resp.parse(inbox)
-            except resp.ShortError:
+            except resp.ShortError as short:
+                if short.need > INBOX:
+                    raise MalformedError(resp.error("ERR Protocol error: command too long")) from None
                 return
             except resp.ProtocolError as error:
                 raise MalformedError(resp.error(f"ERR Protocol error: {error}")) from None
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -32,8 +32,14 @@
 INBOX = 160 * 1024  # a value of 64 KiB in a command with its other parts
 OUTBOX = 64 * 1024
 STALL_S = 10.0  # an answer nobody reads may stand still this long
-LINGER_S = 0.5  # after a farewell, what still comes is read this long so that the client can get it
-LINGER_BYTES = 512 * 1024  # ... and no more than this
+# Lingering close: once our sending has ended, what still comes is discarded, for so long and no more.
+LINGER_S = 0.5
+LINGER_BYTES = 512 * 1024
+LINGER_MOST = 8  # clients over the cap that linger at once, out of the descriptors kept back
+GONE_S = (
+    0.04  # how often a client that is not read from is looked at: 0.1 s after it left nothing begins for it
+)
+HALF_S = 0.5  # a request that has begun may be about to be whole: it is not closed for another's sake
 SWEEP_S = 0.2  # how often connections are looked over
 YOUNG_S = 0.1  # a new connection may be about to send its request: it is not closed for another's sake
 PRESSED_PART = (
@@ -44,6 +50,7 @@
 ROOM_S = 0.5  # how long a new client waits for room before it is told to come again
 EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 EXHAUSTED_REST_S = 0.05
+EXHAUSTED_TRIES = 100  # at a stop, to let in who has connected before
 
 
 class MalformedError(Exception):
@@ -88,7 +95,11 @@
         self.sock, self.listener = sock, listener
         self.inbox, self.outbox = Ring(INBOX), Ring(OUTBOX)
         self.active_at = self.half_since = time.monotonic()
-        self.ending = self.closed = self._half = self._asked = False
+        self.ending = self.closed = self._half = self._asked = self._blocked = False
+        self.lingering_since: float | None = (
+            None  # since when our sending has ended: nothing is taken any more
+        )
+        self._discarded = 0
         self._wake, self._room = Event(), Event()
         # Weak: what is closed is freed at once, and not only when the garbage is looked through.
         this = weakref.ref(self)
@@ -104,38 +115,80 @@
     def answered(self) -> bool:
         return not self.session.pending() and not len(self.outbox)
 
+    def settled(self) -> bool:
+        """Nothing taken waits for its answer, and no whole request waits behind those that did."""
+        return self.answered() and not self._blocked
+
     def idle(self) -> bool:
-        return self.answered() and not len(self.inbox)
+        return self.settled() and not len(self.inbox)
 
     def stalled(self, now: float) -> bool:
         """Guards against clients that never send or finish a request, or never read an answer."""
         patience = self.listener.patience
         if len(self.outbox):
             return now - self.active_at > STALL_S
-        if not self._asked or (len(self.inbox) and not self.session.full()):
+        if not self.settled():
+            return False  # what was taken is answered first, whatever stands half behind it
+        if not self._asked or len(self.inbox):
             return not self.ending and now - self.half_since > patience.request_s
         return self.idle() and now - self.active_at > patience.idle_s and not self._readable()
 
     def spare(self, now: float) -> bool:
         """May be closed to make room: nothing is owed on it, and nothing is about to be asked."""
-        young = not self._asked and now - self.active_at <= YOUNG_S
-        return self.answered() and not young and not self._readable()
+        if not self.settled() or self.ending or self._young(now):
+            return False
+        return (not len(self.inbox) or now - self.active_at > HALF_S) and not self._readable()
 
     def drained(self, now: float) -> bool:
         """Closed now for a drain: nothing is owed on it and nothing is on its way (see ops.drain)."""
         drain = self.listener.drain
         if drain.since is None or self.ending:
             return False
-        owed = not self.answered()
+        owed = not self.settled()
         return drain.closes(now, owed=owed, readable=not owed and (len(self.inbox) > 0 or self._readable()),
                             asked=self._asked, active_at=self.active_at)  # fmt: skip
 
+    def _young(self, now: float) -> bool:
+        return not self._asked and now - self.active_at <= YOUNG_S
+
     def _readable(self) -> bool:
         poll = select.poll()
         poll.register(self.sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def _hung_up(self) -> bool:
+        """The client has closed, seen past bytes that are not read now."""
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def finish(self) -> None:
+        """At a stop: end once nothing is owed and nothing is on its way."""
+        if self.ending or not self.idle() or self._young(time.monotonic()) or self._readable():
+            return
+        self.end()
+
+    def end(self) -> None:
+        """Lingering close: our sending ends, what still comes is discarded until the client ends too.
+
+        Closing over unread bytes would reset the connection, and the last answer could be lost with it. A
+        request that crosses this is never taken: its client sees the end without an answer and sends it anew.
+        """
+        if self.closed or self.lingering_since is not None:
+            return
+        self.lingering_since = time.monotonic()
+        self.ending = True
+        self.session.gone()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+            return
+        self.listener.linger(self)
+        self._room.set()
+
     def close(self) -> None:
+        """At once, both ways."""
         if self.closed:
             return
         self.closed = True
@@ -157,23 +210,31 @@
         except Exception:
             self.listener.counters.add("errors.connection")
             defect(log, "client connection")
+        else:
+            if work == self._write and self.lingering_since is not None:
+                return  # the reader closes it
         self.close()
 
     def _read(self) -> None:
         while not self.closed:
-            if self.session.full():
+            self._blocked = self.session.full()
+            if self._blocked:
                 # Backpressure: what the client sends meanwhile stays in its socket.
-                self._room.clear()
-                self._room.wait()
+                if not self._wait_answered(lambda: not self.session.full()):
+                    return
+                self._wake.set()  # the writer may have found all answered while this still held it back
+            elif not self.inbox.room:
+                return self._farewell(b"")  # no request is this large
             elif not self.inbox.receive(self.sock):
                 return
+            if self.lingering_since is not None:
+                return self._discard()
             held = len(self.inbox)
             try:
                 self.session.received(self.inbox)
             except MalformedError as error:
                 self.listener.counters.add("clients.malformed")
-                self._farewell(error.farewell)
-                return
+                return self._farewell(error.farewell)
             self._active()
             taken = len(self.inbox) < held
             if taken or (self._asked and not self._half):  # a request was taken, or a later one has begun
@@ -181,20 +242,34 @@
             self._asked = self._asked or taken
             self._half = len(self.inbox) > 0
 
+    def _wait_answered(self, enough: Callable[[], bool]) -> bool:
+        """Wait, without reading, until answers have left; False: the client has gone meanwhile."""
+        while not enough() and self.lingering_since is None:
+            self._room.clear()
+            self._room.wait(GONE_S)
+            if self._hung_up():
+                self.listener.counters.add("clients.gone_unread")
+                return False
+        return True
+
     def _farewell(self, data: bytes) -> None:
         """What was taken before is answered first; then the reason, then the end."""
         self.ending = True
-        with gevent.Timeout(STALL_S, TimeoutError()):
-            while self.session.pending() or len(self.outbox):
-                self._room.clear()
-                self._room.wait()
-            self.sock.sendall(data)
-            self.sock.shutdown(socket.SHUT_WR)
-        # Closing with unread bytes would reset the connection and lose the reason.
-        with gevent.Timeout(LINGER_S, TimeoutError()):
-            rest = LINGER_BYTES
-            while rest > 0 and (more := self.sock.recv(65536)):
-                rest -= len(more)
+        if not self._wait_answered(self.answered):
+            return
+        if self.lingering_since is None:
+            with gevent.Timeout(STALL_S, TimeoutError()):
+                self.sock.sendall(data)
+            self.end()
+        self._discard()
+
+    def _discard(self) -> None:
+        """What comes after our end is not taken: it goes no further."""
+        while not self.closed and self._discarded <= LINGER_BYTES:
+            self._discarded += len(self.inbox)
+            self.inbox.skip(len(self.inbox))
+            if not self.inbox.receive(self.sock):
+                return
 
     def _write(self) -> None:
         rest = memoryview(b"")
@@ -209,16 +284,18 @@
                 self.outbox.send(self.sock)
                 self._active()
                 continue
-            if self.listener.stopping and not self.ending and self.idle():
-                return
+            if self.listener.stopping:
+                self.finish()
             if self.drained(time.monotonic()):  # the end follows the last answer at once
                 self.listener.counters.add("clients.drained")
+                self.end()
+            if self.lingering_since is not None:
                 return
             self._wake.wait()
 
     def wake(self) -> None:
         self._wake.set()
-        if len(self._greenlets) == 1 and not self.closed:
+        if len(self._greenlets) == 1 and not self.closed and self.lingering_since is None:
             self._greenlets.append(gevent.spawn(self._guard, self._write))
 
     def _active(self) -> None:
@@ -238,6 +315,7 @@
         self.most, self.counters, self.session = most, counters, session
         self.patience, self.busy = patience, busy
         self.connections: dict[Connection, None] = {}  # the longest inactive first
+        self.lingering: dict[Connection, None] = {}  # ended by us, not yet by their clients; the oldest first
         self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
         self.drain = drain or Drain()
@@ -246,32 +324,52 @@
         self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._sweep)]
 
     def stop(self) -> None:
-        """Take no new connection, close those between requests; the others close with their last answer."""
+        """Take no new connection, end those between requests; the others end with their last answer."""
         self.stopping = True
-        for greenlet in self._greenlets:
-            greenlet.kill()
-        with contextlib.suppress(OSError):
-            self._sock.setblocking(False)
-            while True:  # whoever the system has let in already may have sent a request
+        self._greenlets[0].kill()
+        self._sock.setblocking(False)
+        tries = EXHAUSTED_TRIES
+        while tries:  # whoever the system has let in already may have sent a request
+            try:
                 self._admit(self._sock.accept()[0])
-                gevent.sleep(0)  # sockets that were closed are given back in the event loop's turn
+            except OSError as error:
+                if error.errno not in EXHAUSTED:
+                    break
+                tries -= 1
+                self._make_room(at_once=True)
+            gevent.sleep(0)  # sockets that were closed are given back in the event loop's turn
         self._sock.close()
+        self._finish()
+        gevent.spawn_later(YOUNG_S, self._finish)  # who has just come may be about to ask
+
+    def _finish(self) -> None:
         for connection in list(self.connections):
-            connection.wake()
+            connection.finish()
 
     def close_drained(self) -> None:
         """Close what a drain lets go now: at standby, and on each sweep while it lasts."""
         now = time.monotonic()
         for connection in [c for c in self.connections if c.drained(now)]:
             self.counters.add("clients.drained")
-            connection.close()
+            connection.end()
+
+    def leave(self) -> bool:
+        """At the exit: end what is left, such as half requests. Whether a client has yet to see it."""
+        for connection in list(self.connections):
+            connection.end()
+        return bool(self.lingering)
 
     def idle(self) -> bool:
         """All that was taken is answered; half a request does not count as taken."""
-        return all(connection.answered() for connection in self.connections)
+        return all(connection.settled() for connection in self.connections)
+
+    def linger(self, connection: Connection) -> None:
+        self.connections.pop(connection, None)
+        self.lingering[connection] = None
 
     def forget(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
+        self.lingering.pop(connection, None)
 
     def active(self, connection: Connection) -> None:
         if self.connections.pop(connection, connection) is None:
@@ -285,8 +383,9 @@
             except OSError as error:
                 self.counters.add("errors.accept")
                 if error.errno in EXHAUSTED:
-                    self._make_room()
+                    self._make_room(at_once=True)
                     gevent.sleep(EXHAUSTED_REST_S)
+                gevent.sleep(0)  # whatever is wrong with the door, those inside are served
                 continue
             self._admit(sock)
             self._relieve()
@@ -297,43 +396,59 @@
 
         Once that has lasted, those who wait are let in to be told to come again.
         """
-        while len(self.connections) >= self.most and not self._make_room():
+        while self._full() and not self._make_room(at_once=True):
             self._full_at = self._full_at or time.monotonic()
             if time.monotonic() - self._full_at > ROOM_S:
                 return
             gevent.sleep(ROOM_STEP_S)
         self._full_at = 0.0
 
+    def _full(self) -> bool:
+        return len(self.connections) + len(self.lingering) >= self.most
+
     def _admit(self, sock: socket.socket) -> None:
         try:
-            if len(self.connections) >= self.most and not self._make_room():
-                # The system has let the client in, so its request counts as taken: it is told.
-                self.counters.add("clients.over_sockets")
-                sock.setblocking(False)
-                sock.send(self.busy)
-                sock.close()
-                return
+            over = self._full() and not self._make_room(at_once=True)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.connections[Connection(sock, self)] = None
-            self.counters.add("clients.connected")
+            connection = Connection(sock, self)
         except OSError:
             self.counters.add("errors.accept")
             sock.close()
+            return
+        self.connections[connection] = None
+        if not over:
+            self.counters.add("clients.connected")
+            return
+        # The system has let the client in, so its request counts as taken: it is told. The request itself may
+        # still be on its way; a close over it would reset the connection, and the word would be lost.
+        self.counters.add("clients.over_sockets")
+        with contextlib.suppress(OSError):
+            sock.send(self.busy)
+        connection.end()
+        while len(self.connections) + len(self.lingering) > self.most + LINGER_MOST and self.lingering:
+            next(iter(self.lingering)).close()
 
     def _relieve(self) -> None:
         """Guards the clients' own bound: who asks and keeps its connection leaves others none."""
         while len(self.connections) > self.most * PRESSED_PART and self._make_room():
             pass
 
-    def _make_room(self) -> bool:
-        """Close the longest inactive that may be."""
-        now = time.monotonic()
+    def _make_room(self, at_once: bool = False) -> bool:
+        """End the longest inactive that may be. `at_once`: a descriptor is needed now, so one that lingers is
+        closed, which has heard of its end; else the inactive one itself, whose last answer left long ago."""
+        if at_once and self.lingering:
+            next(iter(self.lingering)).close()
+            return True
+        at = time.monotonic()
         for connection in self.connections:
-            if now - connection.active_at <= REST_S:
+            if at - connection.active_at <= REST_S:
                 break
-            if connection.spare(now):
+            if connection.spare(at):
                 self.counters.add("clients.closed_for_room")
-                connection.close()
+                if at_once:
+                    connection.close()
+                else:
+                    connection.end()
                 return True
         return False
 
@@ -344,6 +459,12 @@
             now = time.monotonic()
             for connection in [c for c in self.connections if c.stalled(now)]:
                 self.counters.add("clients.stalled")
-                connection.close()
+                if connection.answered():
+                    connection.end()
+                else:
+                    connection.close()  # it never reads its answer
+            for connection in list(self.lingering):
+                if now - (connection.lingering_since or now) > LINGER_S:
+                    connection.close()
             if self.drain.since is not None:
                 self.close_drained()
