Carry out signals that come during the start, and let last answers arrive before the exit

Seen (tests/test_start.py, seen to fail on the old text): SIGTERM before the event loop ran ended the process by the signal (-15), with whoever had connected; SIGHUP between the reading of the file and the loop was ignored, so a file changed in between was never read and discovery was asked at its old address. Cause: __main__.main ignored SIGHUP until the handlers were installed and left SIGTERM to the system. Change: both are noted from the first line of main on and carried out once the gateway stands. Ruled out: idle clients that fill the descriptors while discovery is down (64 descriptors, 150 clients: heard and served at once when it is back); signals twice and together while serving.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -38,7 +38,7 @@
 from stackrouter.fronts.sftp.config import SftpConfig
 from stackrouter.net.admin import Admin
 from stackrouter.net.discovery import Discovery, Listing
-from stackrouter.net.listener import Listener, Session
+from stackrouter.net.listener import LINGER_S, Listener, Session
 from stackrouter.net.pool import Pool
 from stackrouter.ops.drain import Drain
 from stackrouter.ops.retune import BIND_S, merge
@@ -198,6 +198,10 @@
         until_us = clock_us() + max(c.deadline_us for c in self.engine.settings.classes)
         while clock_us() < until_us and not (self.engine.idle() and all(li.idle() for li in self.listeners)):
             gevent.sleep(FINISH_STEP_S)
+        # The last answers may still be on their way: an exit over what clients send meanwhile resets them.
+        until_us = min(until_us, clock_us() + int(LINGER_S * 1e6))
+        while any([li.leave() for li in self.listeners]) and clock_us() < until_us:
+            gevent.sleep(FINISH_STEP_S)
 
 
 def load_extras(config: Config) -> Extras | None:
@@ -214,7 +218,11 @@
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the file has been read, there is nothing to reload
+    # What is told while the start is under way is done once it is over: a file that was changed after it had
+    # been read here would else never be read, and a stop would cut off whoever has connected already.
+    early: list[int] = []
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda told, _: early.append(told))
     log.start()
     try:
         config = load()
@@ -234,6 +242,10 @@
     gevent.signal_handler(signal.SIGINT, gateway.terminate)
     gevent.signal_handler(signal.SIGHUP, gateway.reload)
     gevent.signal_handler(signal.SIGUSR1, gateway.print_counters)
+    if signal.SIGHUP in early:
+        gateway.reload()
+    if signal.SIGTERM in early or signal.SIGINT in early:
+        gateway.terminate()
     gc.freeze()  # what is loaded now stays: a collection need not look at it
     gc.set_threshold(GC_THRESHOLD)
     logger.info("listening on %s:%d, limits %s", *gateway.listeners[0].address, config.limits)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -26,7 +26,10 @@
         self.deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
 
     def test_run_is_one_exec_of_the_lean_start(self) -> None:
-        words = shlex.split(self.deploy["run"])
+        # A SIGHUP before the interpreter is up would end the process; the file is read after it.
+        first, _, run = self.deploy["run"].partition("; ")
+        self.assertEqual(first, "trap '' HUP")
+        words = shlex.split(run)
         self.assertEqual(words[0], "exec", "run must end in the program itself, by exec")
         self.assertFalse(set(words) & set(SHELL_JOINS), "nothing may follow or stand beside the exec")
         self.assertEqual(words[2:], ["-m", "stackrouter"], "the lean start, which imports no command line")
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,160 @@
+"""Signals at each step of a start, and descriptors that run out while discovery is down."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from tests.exchange import PATIENCE_S, ROOT, SETTINGS, Player, free_address
+
+ASKED, REST = (
+    "BLK.READ 0000000000000001 2 c=match-read,t=priority,d=",
+    ",volume=00000000000000f1,units=2,shard=1,hosts=1",
+)
+
+# Sends itself the signals named, just before or behind the named step of the start.
+GATED = """
+import os, signal, sys
+import stackrouter.__main__ as program
+step, when, names = sys.argv[1:4]
+def tell():
+    for name in names.split("+"):
+        os.kill(os.getpid(), getattr(signal, name))
+real = getattr(program, step)
+def gated(*args, **kwargs):
+    if when == "before":
+        tell()
+    done = real(*args, **kwargs)
+    if when == "behind":
+        if "SIGHUP" in names:  # the file is another by now
+            path = os.environ["GW_CONFIG"]
+            text = open(path).read().replace(os.environ["OLD"], os.environ["NEW"])
+            open(path, "w").write(text)
+        tell()
+    return done
+setattr(program, step, gated)
+sys.exit(program.main())
+"""
+
+
+class Start(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "config.json"
+        self.listen, self.old, self.new = free_address(), free_address(), free_address()
+        self.path.write_text(json.dumps({
+            "listen": self.listen, "discovery": self.old, "seed": "7", "settings": SETTINGS,
+            "limits": {"memory_mb": 192, "sockets": 1024},
+        }))  # fmt: skip
+        self.environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+        self.environ |= {"GW_CONFIG": str(self.path), "OLD": self.old, "NEW": self.new}
+
+    def start(self, *words: str) -> subprocess.Popen[str]:
+        program = subprocess.Popen(
+            [sys.executable, *words], cwd=ROOT, env=self.environ, stderr=subprocess.PIPE, text=True
+        )
+        self.addCleanup(program.wait)
+        self.addCleanup(program.kill)
+        return program
+
+    def pong(self) -> None:
+        host, port = self.listen.split(":")
+        until = time.monotonic() + PATIENCE_S
+        while True:
+            try:
+                with socket.create_connection((host, int(port)), 1.0) as sock:
+                    sock.sendall(b"*1\r\n$4\r\nPING\r\n")
+                    self.assertEqual(sock.recv(100), b"+PONG\r\n")
+                    return
+            except OSError:
+                self.assertLess(time.monotonic(), until, "never ready")
+                time.sleep(0.01)
+
+    def test_a_stop_during_the_start_is_carried_out_behind_it(self) -> None:
+        """It ended the process at once, exit by the signal, with whoever had connected."""
+        for step, when in (("load", "before"), ("load", "behind"), ("Gateway", "behind")):
+            for names in ("SIGTERM", "SIGTERM+SIGTERM", "SIGHUP+SIGTERM", "SIGINT"):
+                with self.subTest(step=step, when=when, names=names):
+                    program = self.start("-c", GATED, step, when, names)
+                    _, said = program.communicate(timeout=PATIENCE_S)
+                    self.assertEqual(program.returncode, 0, said)
+                    self.assertIn("listening on", said)
+                    self.assertNotIn("Traceback", said)
+
+    def test_a_file_changed_while_the_start_is_under_way_is_read(self) -> None:
+        """SIGHUP was ignored until the loop ran: the gateway went on asking discovery at the old address."""
+        for step in ("load", "Gateway"):
+            with self.subTest(step):
+                program = self.start("-c", GATED, step, "behind", "SIGHUP")
+                self.pong()
+                program.send_signal(signal.SIGTERM)
+                _, said = program.communicate(timeout=PATIENCE_S)
+                self.assertEqual(program.returncode, 0, said)
+                self.assertIn(f"configuration read again: discovery at {self.new}", said)
+                self.path.write_text(self.path.read_text().replace(self.new, self.old))
+
+    def test_signals_together_and_twice_while_it_serves(self) -> None:
+        for numbers in ((signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)):
+            program = self.start("-m", "stackrouter")
+            self.pong()
+            for number in numbers:
+                program.send_signal(number)
+            _, said = program.communicate(timeout=PATIENCE_S)
+            self.assertEqual(program.returncode, 0, said)
+            self.assertNotIn("Traceback", said)
+
+    def test_a_hang_up_before_the_interpreter_is_up_ends_nothing(self) -> None:
+        """As `run` starts it: ignored until the program takes signals, which reads the file after."""
+        program = subprocess.Popen(
+            ["sh", "-c", f"trap '' HUP; exec {sys.executable} -m stackrouter"],
+            cwd=ROOT, env=self.environ, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        self.addCleanup(program.wait)
+        self.addCleanup(program.kill)
+        time.sleep(0.02)
+        for _ in range(20):
+            program.send_signal(signal.SIGHUP)
+            time.sleep(0.005)
+        self.pong()
+        program.send_signal(signal.SIGTERM)
+        _, said = program.communicate(timeout=PATIENCE_S)
+        self.assertEqual(program.returncode, 0, said)
+
+
+class Descriptors(unittest.TestCase):
+    def test_idle_clients_that_fill_the_descriptors_keep_neither_news_nor_nodes_out(self) -> None:
+        """Discovery is down meanwhile; once it is back it is heard, and a request served, at once."""
+        with tempfile.TemporaryDirectory() as folder:
+            script = Path(folder) / "script.txt"
+            script.write_text("# sockets=64 discovery=silent\n")
+            with Player(script) as p:
+                resource.prlimit(p.program.pid, resource.RLIMIT_NOFILE, (64, 64))
+                host, port = p.listen.split(":")
+                idle = [socket.create_connection((host, int(port))) for _ in range(150)]
+                time.sleep(1.0)  # some 5 calls to discovery while all are held
+                p.discovery.silent = False
+                back = time.monotonic()
+                with p.discovery.news:
+                    self.assertTrue(p.discovery.news.wait_for(lambda: p.discovery.heard == 1, PATIENCE_S))
+                self.assertLess(time.monotonic() - back, 1.0)
+                p.act("a", ">", f"resp {ASKED}1900{REST}")
+                p.act("s1", "<", f"resp {ASKED}~~~{REST}")
+                p.act("s1", ">", r'"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"')
+                p.act("a", "<", r'"$2\r\nhi\r\n"')
+                for sock in idle:
+                    sock.close()
+                self.assertNotIn("Traceback", "".join(p.log))
+
+
+if __name__ == "__main__":
+    unittest.main()
