--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,7 +1,7 @@
 """A cold node's stated budget N holds for the sum of what all gateways send it.
 
-Beyond it only 2 x root of N + 2 requests of mean work are chance, however many gateways there are, and when and
-how they learn of the start.
+Beyond it only 2 x root of N + 2 requests of mean work are chance, for however many gateways, however
+late they learn of the start.
 """
 
 from __future__ import annotations
