Name the policy state machine and its heartbeats by the field's standard terms

Needed: several parts are about to use this class side by side, and its names (Switch, touch, asks, saw, took) need explaining. Renamed: Switch to PolicyStateMachine, touch to the validity of a heartbeat, and the methods after what they take.

--- a/stackrouter/coord/calls.py
+++ b/stackrouter/coord/calls.py
@@ -65,16 +65,16 @@
         return f"FAILURE {DoorCallError(f'usage: {USAGE}').coded()}"
 
     def _status(self) -> str:
-        member, switch = self._member, self._member.switch
-        assert switch is not None
+        member, policy_state = self._member, self._member.policy_state
+        assert policy_state is not None
         versions = member.store.policies()
         now = member.clock()
         told = PolicyStatus(
             version=versions[-1].number if versions else OWN,
-            serving=switch.serving.number,
-            since_s=round((now - switch.since) / 1e6, 1),
-            in_touch=switch.in_touch(now),
-            ready=switch.ready(now),
+            serving=policy_state.serving.number,
+            since_s=round((now - policy_state.since) / 1e6, 1),
+            in_touch=policy_state.heartbeat_valid(now),
+            ready=policy_state.ready(now),
             members=member.store.present(),
             versions=[(v.number, v.digest[:12], v.by) for v in versions],
         )
--- a/stackrouter/coord/drill.py
+++ b/stackrouter/coord/drill.py
@@ -49,9 +49,9 @@
         sock.sendall(f"{duty} {token} {self._member.life} {looked_at}\n".encode())
 
     def _serve(self, sock: socket.socket) -> None:
-        switch = self._member.switch
-        if switch is None or self._member.holds_back():
+        policy_state = self._member.policy_state
+        if policy_state is None or self._member.holds_back():
             return
-        looked_at, version = time.monotonic_ns(), switch.serving
+        looked_at, version = time.monotonic_ns(), policy_state.serving
         digest = version.digest[:12] or "own"
         sock.sendall(f"serve {version.number} {self._member.life} {looked_at} {digest}\n".encode())
--- a/stackrouter/coord/member.py
+++ b/stackrouter/coord/member.py
@@ -15,7 +15,7 @@
 from gevent.event import Event as Flag
 
 from stackrouter.coord.lease import Action, Ask, Begin, End, LeaseKeeper, Timing
-from stackrouter.coord.policy import Rules, Switch
+from stackrouter.coord.policy import PolicyStateMachine, Rules
 from stackrouter.coord.port import (
     Activate,
     ActiveSeen,
@@ -64,7 +64,7 @@
         self.keepers = {d: LeaseKeeper(d, self.life, timing, now, store.store_expires) for d in DUTIES}
         self.follower = Follower(stale_us)
         self.term = TermSeen(0, "")
-        self.switch: Switch | None = None  # None: each member serves under its own file
+        self.policy_state: PolicyStateMachine | None = None  # None: each member serves under its own file
         self._take_policy: Callable[[str], None] = lambda text: None
         self._waiting: dict[int, AsyncResult[str]] = {}  # by number, who waits for an answer
         self._discovery: Discovery | None = None
@@ -85,17 +85,17 @@
 
     def keep_policy(self, rules: Rules, take: Callable[[str], None]) -> None:
         """Serve under the fleet's policy. `take` makes a version's settings hold here, or raises."""
-        self.switch, self._take_policy = Switch(rules), take
+        self.policy_state, self._take_policy = PolicyStateMachine(rules), take
 
     def holds_back(self) -> bool:
         """Whether no new request may be taken now: this member cannot know what policy is in force."""
-        return self.switch is not None and not self.switch.serves(self.clock())
+        return self.policy_state is not None and not self.policy_state.serves(self.clock())
 
     def not_ready(self) -> str:
         """Why this member's door may not say yes; empty: it may."""
-        if self.switch is None or self.switch.ready(self.clock()):
+        if self.policy_state is None or self.policy_state.ready(self.clock()):
             return ""
-        failed = self.switch.failed
+        failed = self.policy_state.failed
         return f"policy {failed} cannot be taken here" if failed else "out of touch with the fleet"
 
     def ask_and_wait(self, command: Command, within_s: float) -> str | None:
@@ -151,14 +151,14 @@
                     self._heard(event)
                 for keeper in self.keepers.values():
                     self._do(keeper, keeper.tick(self.clock()))
-                if self.switch is not None:
-                    self._steer(self.switch)
+                if self.policy_state is not None:
+                    self._steer(self.policy_state)
             except Exception:  # coordination must never end the gateway: without it, it serves as it did
                 self.counters.add("errors.coord")
                 defect(log, "coordination")
                 gevent.sleep(0.1)
             times = [at for k in self.keepers.values() if (at := k.next_at()) is not None]
-            times += [self.switch.next_at()] if self.switch is not None else []
+            times += [self.policy_state.next_at()] if self.policy_state is not None else []
             left = (min(times) - self.clock()) / 1e6 if times else LONGEST_WAIT_S
             self._due.wait(min(LONGEST_WAIT_S, max(0.001, left)))
 
@@ -170,16 +170,16 @@
                     self._refused(event.why)
                 for keeper in self.keepers.values():
                     self._do(keeper, keeper.answered(event, now))
-                if self.switch is not None:
-                    self.switch.answered(event.number, event.accepted, now)
+                if self.policy_state is not None:
+                    self.policy_state.heartbeat_answered(event.number, event.accepted, now)
                 if (waiting := self._waiting.get(event.number)) is not None:
                     waiting.set(event.why)
-            case ActiveSeen() if self.switch is not None:
-                self.switch.activated(event.number)
-            case PolicySeen() if self.switch is not None:
+            case ActiveSeen() if self.policy_state is not None:
+                self.policy_state.version_activated(event.number)
+            case PolicySeen() if self.policy_state is not None:
                 version = event.version
                 _say("policy.committed", version=version.number, digest=version.digest[:12], by=version.by)
-                self.switch.saw(version, now)
+                self.policy_state.version_committed(version, now)
             case LeaseSeen() if event.lease.duty in self.keepers:
                 keeper = self.keepers[event.lease.duty]
                 self._do(keeper, keeper.saw(event.lease, now))
@@ -190,26 +190,28 @@
                 self.counters.add("coord.terms")
                 _say("coord.term", term=event.term, leader=event.leader or "nobody")
 
-    def _steer(self, switch: Switch) -> None:
+    def _steer(self, policy_state: PolicyStateMachine) -> None:
         """Say that this member is here, and take the version whose time has come."""
         now = self.clock()
-        if switch.asks(now):
-            for_s = (now - switch.since) // 1_000_000
-            switch.numbered(self.store.ask(Present(self.name, switch.serving.number, for_s)), now)
-        if (number := switch.activates(now)) is not None:
+        if policy_state.heartbeat_due(now):
+            for_s = (now - policy_state.since) // 1_000_000
+            policy_state.heartbeat_sent(
+                self.store.ask(Present(self.name, policy_state.serving.number, for_s)), now
+            )
+        if (number := policy_state.activation_due(now)) is not None:
             self.store.ask(Activate(self.name, number))
-        if (version := switch.due()) is None:
+        if (version := policy_state.next_version()) is None:
             return
         try:
             self._take_policy(version.body)
         except (ConfigError, ValueError) as error:  # checked where it was proposed, it may not fit here
             self.counters.add("policy.failed")
             tell(log, PolicyTakeError(error), f"policy.failed version={version.number}", logging.ERROR)
-            switch.took(version, now, False)
+            policy_state.version_taken(version, now, False)
             return
         self.counters.add("policy.taken")
         _say("policy.taken", version=version.number, digest=version.digest[:12])
-        switch.took(version, now, True)
+        policy_state.version_taken(version, now, True)
 
     def _listed(self, now: int, event: ListingSeen) -> None:
         if self._discovery is None or self.acting(WATCH) == event.token:
--- a/stackrouter/edge/wiring.py
+++ b/stackrouter/edge/wiring.py
@@ -88,13 +88,13 @@
 
         conf = self.edge.coordination
         self.member = join(conf, self.config.name, discovery, counters, take_policy)
-        if self.member.switch is not None:
+        if self.member.policy_state is not None:
             self.calls = PolicyCalls(self.member, conf.policy.after_ms * 1000)
             engine.held = self.member.holds_back
 
     def policy_in_force(self) -> bool:
-        switch = self.member.switch if self.member is not None else None
-        return switch is not None and switch.serving.number > 0
+        policy_state = self.member.policy_state if self.member is not None else None
+        return policy_state is not None and policy_state.serving.number > 0
 
     def not_ready(self) -> str:
         """Why the door may not say yes; empty: it may."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -15,14 +15,14 @@
 from hypothesis import strategies as st
 
 from stackrouter.coord.ledger import Ledger
-from stackrouter.coord.policy import OWN, Rules, Switch, Version
+from stackrouter.coord.policy import OWN, PolicyStateMachine, Rules, Version
 from stackrouter.coord.port import Activate, ActiveSeen, PolicySeen, Present, Propose
 from stackrouter.fleet.check import Served, check_policy
 from stackrouter.fleet.rig import Rig, Setup
 from tests.test_cli import run as command
 
 MS = 1000
-RULES = Rules(touch_us=1000 * MS, max_drift_us=100 * MS)
+RULES = Rules(validity_us=1000 * MS, max_drift_us=100 * MS)
 AFTER = 1500 * MS
 END_MS = 9000
 
@@ -34,7 +34,7 @@
     def __init__(self, members: int, seed: int, cuts: list[tuple[int, int, int]], changes: list[int]) -> None:
         self.rng, self.cuts, self.changes = Random(seed), cuts, changes
         self.ledger, self.log = Ledger(), list[PolicySeen | ActiveSeen]()
-        self.switches = [Switch(RULES) for _ in range(members)]
+        self.switches = [PolicyStateMachine(RULES) for _ in range(members)]
         self.read = [0] * members
         self.mail: list[tuple[int, int, int, int]] = []  # when, member, number of its ask, log as of then
         self.samples: list[Served] = []
@@ -46,9 +46,9 @@
     def hear(self, i: int, upto: int, now: int) -> None:
         for event in self.log[self.read[i] : upto]:
             if isinstance(event, PolicySeen):
-                self.switches[i].saw(event.version, now)
+                self.switches[i].version_committed(event.version, now)
             else:
-                self.switches[i].activated(event.number)
+                self.switches[i].version_activated(event.number)
         self.read[i] = max(self.read[i], upto)
 
     def run(self) -> list[Served]:
@@ -60,20 +60,20 @@
             for i, switch in enumerate(self.switches):
                 if any(i == member and at <= ms < end for member, at, end in self.cuts):
                     self.mail = [m for m in self.mail if m[1] != i]
-                    switch.asks(now)
+                    switch.heartbeat_due(now)
                 else:
-                    if switch.asks(now):
+                    if switch.heartbeat_due(now):
                         number = self.rng.getrandbits(40)
-                        switch.numbered(number, now)
+                        switch.heartbeat_sent(number, now)
                         self.mail.append((ms + self.rng.randint(5, 150), i, number, len(self.log)))
                     for _, _, number, upto in [m for m in self.mail if m[1] == i and m[0] <= ms]:
                         self.hear(i, upto, now)
-                        switch.answered(number, True, now)
+                        switch.heartbeat_answered(number, True, now)
                     self.mail = [m for m in self.mail if m[1] != i or m[0] > ms]
-                    if (ripe := switch.activates(now)) is not None:
+                    if (ripe := switch.activation_due(now)) is not None:
                         self.commit(Activate(f"m{i}", ripe))
-                if (version := switch.due()) is not None:
-                    switch.took(version, now, True)
+                if (version := switch.next_version()) is not None:
+                    switch.version_taken(version, now, True)
                 if switch.serves(now):
                     at = ms * 1_000_000
                     self.samples.append(Served(at, switch.serving.number, switch.serving.digest, f"m{i}#1"))
@@ -94,32 +94,32 @@
         committed = [(v.number, v.digest) for v in fleet.ledger.policies]
         found = check_policy(samples, [committed])
         self.assertEqual((found.uncommitted_served, found.twins), (0, 0))
-        self.assertLessEqual(max(found.splits_ms, default=0.0), RULES.touch_us / MS)
+        self.assertLessEqual(max(found.splits_ms, default=0.0), RULES.validity_us / MS)
 
     def test_out_of_touch_nothing_is_taken_and_an_hour_later_it_catches_up_before_it_says_yes(self) -> None:
-        switch, hour = Switch(RULES), 3_600_000_000
+        switch, hour = PolicyStateMachine(RULES), 3_600_000_000
         self.assertFalse(switch.ready(0) or switch.serves(0))  # it starts, and knows nothing yet
-        switch.numbered(1, 0)
-        switch.answered(1, True, 10)
+        switch.heartbeat_sent(1, 0)
+        switch.heartbeat_answered(1, True, 10)
         self.assertTrue(switch.ready(20) and switch.serves(20))
         self.assertFalse(switch.serves(900 * MS))
-        self.assertTrue(Switch(Rules(1000 * MS, 0, refuse=False), _until=0).serves(hour))
+        self.assertTrue(PolicyStateMachine(Rules(1000 * MS, 0, refuse=False), _until=0).serves(hour))
         # While it was away two versions were committed and one activated.
-        switch.saw(Version(1, "a", "{}", AFTER), hour)
-        switch.activated(1)
-        switch.saw(Version(2, "b", "{}", AFTER), hour)
+        switch.version_committed(Version(1, "a", "{}", AFTER), hour)
+        switch.version_activated(1)
+        switch.version_committed(Version(2, "b", "{}", AFTER), hour)
         self.assertFalse(switch.ready(hour))
-        taken = switch.due()
+        taken = switch.next_version()
         assert taken is not None and taken.number == 1
-        switch.took(taken, hour, True)
-        switch.numbered(2, hour)
-        switch.answered(2, True, hour + 5)
+        switch.version_taken(taken, hour, True)
+        switch.heartbeat_sent(2, hour)
+        switch.heartbeat_answered(2, True, hour + 5)
         self.assertTrue(switch.ready(hour + 10))
-        self.assertEqual((switch.activates(hour + 10), switch.activates(hour + AFTER)), (None, 2))
+        self.assertEqual((switch.activation_due(hour + 10), switch.activation_due(hour + AFTER)), (None, 2))
 
     def test_a_version_that_cannot_be_taken_here_is_not_served_under(self) -> None:
-        switch = Switch(RULES, _until=1 << 60)
-        switch.took(Version(1, "a", "{}", AFTER), 0, False)
+        switch = PolicyStateMachine(RULES, _until=1 << 60)
+        switch.version_taken(Version(1, "a", "{}", AFTER), 0, False)
         self.assertEqual((switch.serving.number, switch.ready(1), switch.serves(1)), (OWN, False, False))
 
     def test_changes_cannot_interleave_and_the_check_finds_what_was_never_committed(self) -> None:
