--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	if [ -n "$$GW_CONFIG" ]; then exec $(PYTHON) -m stackrouter; else exec .venv/bin/stackrouter demo; fi
 
 generate: build
-	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. stackrouter/trace/facts.proto stackrouter/edge/edge.proto
+	$(PYTHON) -m grpc_tools.protoc -I . --python_out=. --pyi_out=. stackrouter/trace/facts.proto stackrouter/edge/edge.proto stackrouter/controlplane/frames.proto
 
 sites:
 	cp -f $(KIT)/sites/real.json $(KIT)/sites/wire.json $(KIT)/sites/unlock.txt deploy/sites/
