Have part control in the operator's file: gateways that observe, and replicas

Needed: a gateway without a vote names the replicas it may connect to; a replica names where it listens, and what it takes and holds at most. Off as shipped. Which role a file is for follows from its fields (enabled: a gateway; listen with coordination: a voting replica; listen alone: one that does not vote); fields that cannot be together end the start with one line that names the key. frames.proto is now under the test that generated code is current.

--- a/stackrouter/cli/checks.py
+++ b/stackrouter/cli/checks.py
@@ -51,7 +51,13 @@
             raise
         print_json({"ok": False, **error.fields()})
         raise typer.Exit(2) from None
-    on = [part for part in ("sftp", "accounts", "trace", "coordination") if getattr(edge, part).enabled]
+    on = [
+        part
+        for part in ("sftp", "accounts", "trace", "coordination", "control")
+        if getattr(edge, part).enabled
+    ]
+    if edge.control.listen:
+        on.append("control replica")
     if as_json:
         print_json({"ok": True, "on": on, "edge": dataclasses.asdict(edge)})
         return
--- a/stackrouter/edge/config.py
+++ b/stackrouter/edge/config.py
@@ -133,6 +133,117 @@
             yield "drill.receiver", self.drill.receiver
 
 
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """A control replica, as those who connect to it know it."""
+
+    name: Name
+    address: str
+    region: Name
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaLimits:
+    """What a control replica takes and holds at most."""
+
+    gateways: Annotated[int, Ge(1), Le(20_000)] = 2000
+    queued_kb: Annotated[int, Ge(64), Le(1 << 20)] = 8192
+    snapshots: Annotated[int, Ge(1), Le(1000)] = 8
+    snapshot_kb_s: Annotated[int, Ge(64), Le(1 << 22)] = 65_536
+    deltas: Annotated[int, Ge(1), Le(1_000_000)] = 4096
+    deltas_kb: Annotated[int, Ge(64), Le(1 << 20)] = 16_384
+    barrier_interval_ms: Annotated[int, Ge(1), Le(10_000)] = 50
+
+
+@dataclass(frozen=True, slots=True)
+class Control:
+    """A control plane apart from the gateways: what a gateway or a replica is told of it."""
+
+    enabled: bool = False
+    region: Annotated[str, Len(0, 64)] = ""
+    replica: Annotated[tuple[Replica, ...], Len(0, 64)] = ()
+    name: Annotated[str, Len(0, 64)] = ""
+    listen: str = ""
+    admin: str = ""
+    discovery: str = ""
+    touch_ms: Annotated[int, Ge(100), Le(600_000)] = 2000
+    max_drift_ms: Annotated[int, Ge(0), Le(600_000)] = 200
+    on_loss: Literal["refuse", "serve"] = "refuse"
+    stale_ms: Annotated[int, Ge(100), Le(600_000)] = 5000
+    limits: ReplicaLimits = field(default_factory=ReplicaLimits)
+
+    def problem(self, coordination: Coordination) -> str | None:
+        """What the fields say together that cannot be: the field's name and what is allowed."""
+        if self.enabled:
+            return self._gateway_problem(coordination) or self._common_problem()
+        if self.listen and coordination.enabled:
+            return self._voter_problem(coordination) or self._common_problem()
+        if self.listen:
+            return self._observing_replica_problem() or self._common_problem()
+        return None
+
+    def _gateway_problem(self, coordination: Coordination) -> str | None:
+        if coordination.enabled:
+            return "enabled: a gateway that observes replicas is no member, so coordination must be off"
+        for name in ("listen", "admin", "discovery", "name"):
+            if getattr(self, name):
+                return f"{name}: is for a replica, and must not be set where enabled is"
+        return self._unset("region", "replica")
+
+    def _voter_problem(self, coordination: Coordination) -> str | None:
+        if self.replica:
+            return "replica: must not be set where coordination is enabled: a voting replica observes nobody"
+        if self.name:
+            return (
+                "name: must not be set where coordination is enabled: coordination.member names the replica"
+            )
+        if coordination.store != "raft":
+            return "listen: coordination.store must be raft in a voting replica"
+        if not coordination.policy.enabled:
+            return "listen: coordination.policy must be enabled in a voting replica"
+        if coordination.drill is not None:
+            return "listen: coordination.drill must not be set in a voting replica"
+        if coordination.policy.after_ms <= self.touch_ms:
+            return (
+                f"touch_ms: must be less than coordination.policy.after_ms ({coordination.policy.after_ms})"
+            )
+        return self._unset("admin", "discovery")
+
+    def _observing_replica_problem(self) -> str | None:
+        if self.discovery:
+            return "discovery: only a voting replica asks discovery; must not be set without coordination"
+        if self.name in {replica.name for replica in self.replica}:
+            return f"replica: must be other replicas than this one ({self.name})"
+        return self._unset("name", "admin", "replica")
+
+    def _unset(self, *names: str) -> str | None:
+        missing = [name for name in names if not getattr(self, name)]
+        return f"{missing[0]}: must be set" if missing else None
+
+    def _common_problem(self) -> str | None:
+        names = [replica.name for replica in self.replica]
+        addresses = [replica.address for replica in self.replica]
+        if len(set(names)) < len(names) or len(set(addresses)) < len(addresses):
+            return "replica: names and addresses must differ"
+        if self.max_drift_ms * 2 >= self.touch_ms:
+            return (
+                f"max_drift_ms: must be less than half of touch_ms ({self.touch_ms}), not {self.max_drift_ms}"
+            )
+        try:
+            for place, address in self._addresses():
+                address_of(address, place)
+        except AddressError as error:
+            return str(error)
+        return None
+
+    def _addresses(self) -> Iterator[tuple[str, str]]:
+        for name in ("listen", "admin", "discovery"):
+            if address := getattr(self, name):
+                yield name, address
+        for i, replica in enumerate(self.replica):
+            yield f"replica[{i}].address", replica.address
+
+
 @dataclass(frozen=True, slots=True)
 class Edge:
     sftp: Sftp = field(default_factory=Sftp)
@@ -140,6 +251,7 @@
     trace: Trace = field(default_factory=Trace)
     log: Log = field(default_factory=Log)
     coordination: Coordination = field(default_factory=Coordination)
+    control: Control = field(default_factory=Control)
 
 
 # What must be set where a part is enabled.
--- a/stackrouter/edge/load.py
+++ b/stackrouter/edge/load.py
@@ -49,6 +49,8 @@
             )
     if edge.coordination.enabled and (problem := edge.coordination.problem()):
         raise EdgeValueError(f"coordination.{problem}", file=name)
+    if problem := edge.control.problem(edge.coordination):
+        raise EdgeValueError(f"control.{problem}", file=name)
     return edge
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -33,6 +33,11 @@
     )
 
 
+VOTER = (
+    'coordination { enabled: true folder: "f" peer { name: "a" address: "h:1" } policy { enabled: true } }'
+)
+
+
 @pytest.mark.parametrize(
     ("text", "error"),
     [
@@ -54,6 +59,50 @@
             "coordination { enabled: true max_drift_ms: 1500 }",
             "coordination.max_drift_ms: must be less than half of ttl_ms (3000), not 1500",
         ),
+        (
+            'control { enabled: true region: "r" } coordination { enabled: true folder: "f" '
+            'peer { name: "a" address: "h:1" } }',
+            "control.enabled: a gateway that observes replicas is no member, so coordination must be off",
+        ),
+        ('control { enabled: true region: "r" }', "control.replica: must be set"),
+        (
+            'control { enabled: true listen: "h:1" }',
+            "control.listen: is for a replica, and must not be set where enabled is",
+        ),
+        (
+            'control { enabled: true region: "r" replica { name: "a" address: "h:1" region: "r" } '
+            'replica { name: "a" address: "h:2" region: "r" } }',
+            "control.replica: names and addresses must differ",
+        ),
+        (
+            'control { enabled: true region: "r" replica { name: "a" address: "there" region: "r" } }',
+            "control.replica[0].address: not an address: 'there'",
+        ),
+        (
+            'control { enabled: true region: "r" replica { name: "a" address: "h:1" region: "r" } '
+            "touch_ms: 1000 max_drift_ms: 500 }",
+            "control.max_drift_ms: must be less than half of touch_ms (1000), not 500",
+        ),
+        ("control { limits { gateways: 0 } }", "control.limits.gateways: input should be greater than"),
+        (f'{VOTER} control {{ listen: "h:2" admin: "h:3" }}', "control.discovery: must be set"),
+        (
+            f'{VOTER} control {{ listen: "h:2" replica {{ name: "b" address: "h:4" region: "r" }} }}',
+            "control.replica: must not be set where coordination is enabled",
+        ),
+        (
+            f'{VOTER} control {{ listen: "h:2" admin: "h:3" discovery: "h:4" touch_ms: 3000 }}',
+            "control.touch_ms: must be less than coordination.policy.after_ms (3000)",
+        ),
+        ('control { listen: "h:2" admin: "h:3" }', "control.name: must be set"),
+        (
+            'control { name: "l" listen: "h:2" admin: "h:3" discovery: "h:4" }',
+            "control.discovery: only a voting replica asks discovery",
+        ),
+        (
+            'control { name: "l" listen: "h:2" admin: "h:3" '
+            'replica { name: "l" address: "h:4" region: "r" } }',
+            "control.replica: must be other replicas than this one (l)",
+        ),
         (
             'sftp { volume { prefix: "/a" plan: "p" volume: "v" shard: -1 } }',
             "sftp.volume[0].shard: input should be",
@@ -138,15 +187,25 @@
     assert done.returncode == 2 and error in done.stderr and done.stderr.count("\n") == 1
 
 
+OPTIONAL_PARTS = ("accounts", "trace", "edge", "cli", "coord", "controlplane", "fleet", "model")
+
+
 def test_the_platforms_start_imports_nothing_that_is_off() -> None:
     off = "google pydantic zstandard structlog hdrh typer rich jinja2 annotated_types pysyncobj".split()
-    off += [f"stackrouter.{part}" for part in ("accounts", "trace", "edge", "cli", "coord", "fleet", "model")]
+    off += [f"stackrouter.{part}" for part in OPTIONAL_PARTS]
     code = f"import sys, stackrouter.__main__; print([m for m in {off} if m in sys.modules])"
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout == "[]\n"
 
 
-@pytest.mark.parametrize("schema", ["stackrouter/trace/facts.proto", "stackrouter/edge/edge.proto"])
+@pytest.mark.parametrize(
+    "schema",
+    [
+        "stackrouter/trace/facts.proto",
+        "stackrouter/edge/edge.proto",
+        "stackrouter/controlplane/frames.proto",
+    ],
+)
 def test_generated_code_is_current(schema: str, tmp_path: Path) -> None:
     made = [sys.executable, "-m", "grpc_tools.protoc", "-I", ".", f"--python_out={tmp_path}"]
     subprocess.run([*made, f"--pyi_out={tmp_path}", schema], cwd=ROOT, check=True)
