Decide a control plane's replicas and observers without I/O; number the ledger's changes

The ledger counts the changes that took hold from BeginHistory on, answers a Barrier with its position and keeps each replica's report; a dump of an older release loads, with changes not numbered.

--- /dev/null
+++ b/stackrouter/controlplane/conversion.py
@@ -0,0 +1,81 @@
+"""Between the ledger's words (versions, discovery's JSON items, events) and the frames' messages. No I/O."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from stackrouter.controlplane.frames_pb2 import Delta, Node, NodeChanges, PolicyVersion, Position
+from stackrouter.coord.policy import Version
+from stackrouter.coord.port import ActiveSeen, ListingSeen, LogPosition, PolicySeen
+
+REMOVED = "removed"
+Change = PolicySeen | ActiveSeen | ListingSeen
+
+
+def position_message(position: LogPosition) -> Position:
+    """A position as a message."""
+    return Position(history=position.history, number=position.number)
+
+
+def position_from(message: Position) -> LogPosition:
+    """A position out of a message."""
+    return LogPosition(message.history, message.number)
+
+
+def policy_message(version: Version) -> PolicyVersion:
+    """A version of the policy as a message."""
+    return PolicyVersion(
+        number=version.number,
+        digest=version.digest,
+        body=version.body,
+        after_us=version.after_us,
+        proposed_by=version.by,
+    )
+
+
+def version_from(message: PolicyVersion) -> Version:
+    """A version of the policy out of a message."""
+    return Version(message.number, message.digest, message.body, message.after_us, message.proposed_by)
+
+
+def node_message(item: dict[str, Any]) -> Node:
+    """One entry of discovery's JSON list as a message."""
+    return Node(
+        name=item["name"],
+        address=item.get("address") or "",
+        group=int(item.get("group") or 0),
+        status=item["status"],
+        zone=item.get("zone") or "",
+        type=item.get("type") or "",
+        weight=float(item.get("weight", 1.0)),
+        since_ms=max(0, int(item.get("since_ms") or 0)),
+    )
+
+
+def item_from(node: Node) -> dict[str, Any]:
+    """An entry as discovery's JSON has it."""
+    return {
+        "name": node.name,
+        "address": node.address,
+        "group": node.group,
+        "status": node.status,
+        "zone": node.zone,
+        "type": node.type,
+        "weight": node.weight,
+        "since_ms": node.since_ms,
+    }
+
+
+def delta_from(change: Change) -> Delta:
+    """A numbered change of the ledger as a message."""
+    match change:
+        case PolicySeen():
+            return Delta(number=change.change, committed=policy_message(change.version))
+        case ActiveSeen():
+            return Delta(number=change.change, activated=change.number)
+        case ListingSeen():
+            nodes = [node_message(item) for item in change.listing["endpoints"]]
+            index = int(change.listing["index"])
+            return Delta(
+                number=change.number, nodes=NodeChanges(index=index, whole=change.base is None, nodes=nodes)
+            )
--- a/stackrouter/coord/etcd.py
+++ b/stackrouter/coord/etcd.py
@@ -37,6 +37,8 @@
     ActiveSeen,
     Answered,
     Append,
+    Barrier,
+    BeginHistory,
     Command,
     EntrySeen,
     Event,
@@ -184,6 +186,8 @@
                 return ""
             case Append():
                 return self._append(command)
+            case BeginHistory() | Barrier():
+                return "store"  # a control plane's replicas are voters of a group of their own
 
     def _acquire(self, command: Acquire) -> str:
         key = self._key(f"leases/{command.duty}")
--- a/stackrouter/coord/ledger.py
+++ b/stackrouter/coord/ledger.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from typing import Any
 
 from stackrouter.coord.policy import Version
@@ -18,18 +18,24 @@
     Activate,
     ActiveSeen,
     Append,
+    Barrier,
+    BeginHistory,
     Command,
     EntrySeen,
     Event,
+    HistoryBegun,
     Lease,
     LeaseSeen,
+    LedgerState,
     ListingSeen,
+    LogPosition,
     PolicySeen,
     Present,
     Propose,
     Publish,
     Release,
     Renew,
+    ServingReport,
 )
 
 MOST_DUTIES = 64  # a peer that makes up duties must not fill the memory
@@ -38,6 +44,9 @@
 MOST_VERSIONS = 8  # of the policy, the newest stay: for members that come back, and to go back to
 MOST_BODY = 256 * 1024
 MOST_MEMBERS = 64
+MOST_REPORTS = 64  # of replicas: the latest stay
+MOST_REPORTED = 16  # versions and names in one report
+MOST_IDENTITY = 64  # characters
 
 
 @dataclass(slots=True)
@@ -86,6 +95,14 @@
     policies: list[Version] = field(default_factory=list)  # the newest last
     active: int = 0  # the newest version that holds
     present: dict[str, tuple[int, int]] = field(default_factory=dict)  # by member: version, seconds under it
+    history: str = ""  # identity of the group's history; empty: none was begun, and changes are not numbered
+    number: int = 0  # of the last change (policy committed, version activated, nodes listed) of the history
+    reports: dict[str, ServingReport] = field(default_factory=dict)  # by replica, the newest last
+
+    def __setstate__(self, state: tuple[None, dict[str, Any]]) -> None:
+        """A dump of an older release lacks the newer fields: they begin as in a new ledger."""
+        for name, value in (_slots(Ledger()) | state[1]).items():
+            setattr(self, name, value)
 
     def apply(self, command: Command) -> tuple[str, list[Event]]:
         """Why it was refused (empty: it took hold), and what there is to see."""
@@ -102,7 +119,7 @@
                 if not self.active < command.number <= self.version():
                     return "active", []  # another member asked first
                 self.active = command.number
-                return "", [ActiveSeen(command.number)]
+                return "", [ActiveSeen(command.number, self._count())]
             case Present():
                 if command.member not in self.present and len(self.present) >= MOST_MEMBERS:
                     return "size", []
@@ -113,6 +130,44 @@
                 entry = EntrySeen(self.index, command.kind, command.member, command.body)
                 self.entries.append(entry)
                 return "", [entry]
+            case BeginHistory():
+                return self._begin_history(command)
+            case Barrier():
+                return self._barrier(command), []
+
+    def position(self) -> LogPosition:
+        """Where the numbered changes stand."""
+        return LogPosition(self.history, self.number)
+
+    def state(self) -> LedgerState:
+        """What observers have to know, as of now."""
+        nodes = tuple(self.listings.items.values())
+        return LedgerState(self.position(), tuple(self.policies), self.active, self.listings.index, nodes)
+
+    def _count(self) -> int:
+        """The number of a change that has just taken hold; 0 as long as no history was begun. Members that
+        loaded dumps of an older release, taken at different entries, thus count alike."""
+        if self.history:
+            self.number += 1
+        return self.number
+
+    def _begin_history(self, command: BeginHistory) -> tuple[str, list[Event]]:
+        if self.history:
+            return "history", []
+        if not 0 < len(command.identity) <= MOST_IDENTITY:
+            return "size", []
+        self.history = command.identity
+        return "", [HistoryBegun(command.identity)]
+
+    def _barrier(self, command: Barrier) -> str:
+        report = command.report
+        if max(len(report.by_version), len(report.behind)) > MOST_REPORTED:
+            return "size"
+        self.reports.pop(command.member, None)
+        self.reports[command.member] = report
+        while len(self.reports) > MOST_REPORTS:
+            del self.reports[next(iter(self.reports))]
+        return ""
 
     def version(self) -> int:
         """The number of the newest version; 0: none was committed."""
@@ -125,7 +180,7 @@
             return "size", []
         version = Version(command.base + 1, command.digest, command.body, command.after_us, command.member)
         self.policies = [*self.policies[1 - MOST_VERSIONS :], version]
-        return "", [PolicySeen(version)]
+        return "", [PolicySeen(version, self._count())]
 
     def lease(self, duty: str) -> Lease:
         return self.leases.get(duty) or Lease(duty)
@@ -153,8 +208,12 @@
         if why := self.listings.refusal(command):
             return why, []
         self.listings.take(command)
-        return "", [ListingSeen(command.token, command.base, command.listing)]
+        return "", [ListingSeen(command.token, command.base, command.listing, self._count())]
 
     def _set(self, lease: Lease) -> list[Event]:
         self.leases[lease.duty] = lease
         return [LeaseSeen(lease)]
+
+
+def _slots(ledger: Ledger) -> dict[str, Any]:
+    return {slot.name: getattr(ledger, slot.name) for slot in fields(ledger)}
--- a/stackrouter/coord/policy.py
+++ b/stackrouter/coord/policy.py
@@ -20,7 +20,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 OWN = 0  # the version of each member's own file: no policy was ever committed
 
@@ -112,6 +112,13 @@
         else:
             self.failed = version.number
 
+    def begin_history(self) -> None:
+        """The group has begun anew, with version numbers of its own. What is served under stays until a
+        version of the new history is taken; no heartbeat that was answered in the old one counts."""
+        self.serving, self.failed = replace(self.serving, number=OWN), 0
+        self._pending, self._active, self._activate_at = {}, OWN, 0
+        self._until = None
+
     def heartbeat_valid(self, now: int) -> bool:
         return self._until is not None and now < self._until
 
--- a/stackrouter/coord/port.py
+++ b/stackrouter/coord/port.py
@@ -107,7 +107,55 @@
     for_s: int
 
 
-Command = Acquire | Renew | Release | Publish | Append | Propose | Activate | Present
+@dataclass(frozen=True, slots=True)
+class BeginHistory:
+    """Give the group's history its identity: random, set once, later ones are refused. Changes are numbered
+    from here on. Voters of one group all understand this command before one of them hands it in."""
+
+    member: str
+    identity: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServingReport:
+    """What the gateways of one replica serve under. `by_version`: policy version and number of gateways;
+    `behind`: names of some gateways that serve under an older version than the active one. Both bounded."""
+
+    gateways: int = 0
+    by_version: tuple[tuple[int, int], ...] = ()
+    behind: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Barrier:
+    """A read barrier of a replica: its answer gives the position up to which the replica has applied the log,
+    which includes all that was committed before the command was handed in."""
+
+    member: str
+    report: ServingReport = ServingReport()  # noqa: RUF009 - frozen
+
+
+Command = Acquire | Renew | Release | Publish | Append | Propose | Activate | Present | BeginHistory | Barrier
+
+
+@dataclass(frozen=True, slots=True)
+class LogPosition:
+    """A place in the numbered changes of one history. Numbers of two histories are never compared."""
+
+    history: str = ""  # empty: none was begun
+    number: int = 0  # of the last change that is included
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerState:
+    """What observers of the ledger know as of `position`. `nodes`: discovery's JSON items, those that were
+    removed included; `nodes_index`: discovery's version of the list, -1: there is no list."""
+
+    position: LogPosition
+    policies: tuple[Version, ...]
+    active: int
+    nodes_index: int
+    nodes: tuple[dict[str, Any], ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +166,7 @@
     accepted: bool
     lease: Lease | None
     why: str = ""
+    position: LogPosition | None = None  # of a Barrier: where the ledger stood as it was applied here
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,11 +176,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ListingSeen:
-    """A listing was published; `listing` is what was new, `base` as in Publish."""
+    """A listing was published; `listing` is what was new, `base` as in Publish. `number`: of this change, 0
+    where the changes are not numbered (no history was begun)."""
 
     token: int
     base: int | None
     listing: dict[str, Any]
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,19 +203,46 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicySeen:
-    """A version was committed."""
+    """A version was committed, by the change `change` (0: changes are not numbered)."""
 
     version: Version
+    change: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ActiveSeen:
-    """A version was activated."""
+    """A version was activated, by the change `change` (0: changes are not numbered)."""
 
     number: int
+    change: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryBegun:
+    """The group's history has its identity; its changes are numbered from 1."""
 
+    identity: str
 
-Event = PolicySeen | ActiveSeen | Answered | LeaseSeen | ListingSeen | EntrySeen | TermSeen
+
+@dataclass(frozen=True, slots=True)
+class StateReplaced:
+    """The whole state as of now, in place of changes that were not told one by one (a snapshot of the library
+    was loaded), or because it was asked for. Later events build on it."""
+
+    state: LedgerState
+
+
+Event = (
+    PolicySeen
+    | ActiveSeen
+    | Answered
+    | LeaseSeen
+    | ListingSeen
+    | EntrySeen
+    | TermSeen
+    | HistoryBegun
+    | StateReplaced
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackrouter/coord/raft.py
+++ b/stackrouter/coord/raft.py
@@ -38,11 +38,16 @@
     UNKNOWN,
     ActiveSeen,
     Answered,
+    Barrier,
     Command,
     Event,
+    Lease,
     LeaseSeen,
+    LogPosition,
     MemberView,
     PolicySeen,
+    ServingReport,
+    StateReplaced,
     TermSeen,
 )
 from stackrouter.errors import StoreError, defect, tell
@@ -102,6 +107,15 @@
             old.disconnect()
 
 
+@dataclass(frozen=True, slots=True)
+class _Applied:
+    """What a command gave when it was applied here. It stays in this process."""
+
+    why: str
+    lease: Lease | None = None
+    position: LogPosition | None = None
+
+
 class _Group(SyncObj):  # type: ignore[misc]
     def __init__(self, node: TCPNode, others: Sequence[TCPNode], conf: SyncObjConf,
                  applied: Callable[[list[Event]], None]) -> None:  # fmt: skip
@@ -113,12 +127,14 @@
         self._SyncObj__raftElectionDeadline += conf.raftMaxTimeout
 
     @replicated  # type: ignore[misc]
-    def commit(self, command: Command) -> tuple[str, Any]:
+    def commit(self, command: Command) -> _Applied:
         why, events = self.ledger.apply(command)
         if events:
             self._applied(events)
+        if isinstance(command, Barrier):
+            return _Applied(why, position=self.ledger.position())
         duty = getattr(command, "duty", "")
-        return why, self.ledger.lease(duty) if duty else None
+        return _Applied(why, self.ledger.lease(duty) if duty else None)
 
 
 class Raft:
@@ -147,6 +163,7 @@
         self._events: deque[Event] = deque(maxlen=MOST_EVENTS)
         self._term = TermSeen(0, NOBODY)
         self._asked = 0
+        self._state_wanted = threading.Event()
         self._closing = threading.Event()
         self._thread = threading.Thread(target=self._run, name="coord-raft", daemon=True)
         self._wake: Callable[[], None] = lambda: None
@@ -182,6 +199,18 @@
     def present(self) -> dict[str, tuple[int, int]]:
         return dict(self._group.ledger.present) if self._group is not None else {}
 
+    def request_state(self) -> None:
+        """Have the whole state told as a StateReplaced, in order with all other events."""
+        self._state_wanted.set()
+
+    def reports(self) -> dict[str, ServingReport]:
+        """By replica, what its gateways served under at its last barrier."""
+        return dict(self._group.ledger.reports) if self._group is not None else {}
+
+    def applied(self) -> int:
+        """How many entries of the log were applied, since the group began."""
+        return int(self._group.raftLastApplied) if self._group is not None else 0
+
     def members(self) -> list[MemberView]:
         group = self._group
         up = {node.id for node in group.otherNodes if group.isNodeConnected(node)} if group else set()
@@ -197,12 +226,11 @@
         self._events.extend(events)
         self._wake()
 
-    def _answer(self, number: int, result: tuple[str, Any] | None, failure: int) -> None:
+    def _answer(self, number: int, result: _Applied | None, failure: int) -> None:
         if failure != FAIL_REASON.SUCCESS or result is None:
             self._hear([Answered(number, False, None, WHY.get(failure, UNKNOWN))])
         else:
-            why, lease = result
-            self._hear([Answered(number, not why, lease, why)])
+            self._hear([Answered(number, not result.why, result.lease, result.why, result.position)])
 
     def _run(self) -> None:
         while not self._closing.is_set():
@@ -218,6 +246,10 @@
                     self._hear([LeaseSeen(lease) for lease in ledger.leases.values()])
                     self._hear([PolicySeen(version) for version in ledger.policies])
                     self._hear([ActiveSeen(ledger.active)])
+                    self._state_wanted.set()
+                if self._state_wanted.is_set():
+                    self._state_wanted.clear()
+                    self._hear([StateReplaced(self._group.ledger.state())])
                 self._look()
             except Exception:  # a peer that sends what cannot be read must not end the member
                 defect(log, "coordination")
--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -424,6 +424,82 @@
     """The store that coordination is built on cannot be reached or answered wrongly."""
 
 
+# --- the control plane apart from the gateways
+
+
+class ControlError(StackrouterError):
+    """A connection between a gateway and a control replica was ended."""
+
+
+class FrameError(ControlError):
+    """What came is no frame of the control plane."""
+
+
+class FrameTooLargeError(
+    FrameError, code="SR-CONTROL-FRAME-SIZE",
+    do="See what connects there: other programs' first bytes read as a length. Control ports are for gateways"
+    " and replicas alone.",
+):  # fmt: skip
+    """A frame announces more bytes than are taken. The connection was closed."""
+
+
+class FrameUnreadableError(
+    FrameError, code="SR-CONTROL-FRAME",
+    do="See that both ends run releases that go together, and that nothing between them changes bytes.",
+):  # fmt: skip
+    """A frame cannot be read. The connection was closed."""
+
+
+class FrameEmptyError(
+    FrameError, code="SR-CONTROL-FRAME-EMPTY",
+    do="See that both ends run releases that go together: a frame of a newer kind reads as an empty one.",
+):  # fmt: skip
+    """A frame holds nothing that this release knows. The connection was closed."""
+
+
+class FrameUnexpectedError(
+    FrameError, code="SR-CONTROL-FRAME-UNEXPECTED",
+    do="See that both ends run releases that go together; report it where they do.",
+):  # fmt: skip
+    """A frame can be read and is not allowed at this point of a connection. The connection was closed."""
+
+
+class SnapshotRefusedError(
+    ControlError, code="SR-CONTROL-SNAPSHOT",
+    do="Nothing, while it passes: another replica is asked. If it lasts, report it with the replica's name.",
+):  # fmt: skip
+    """A snapshot from a control replica cannot be used; nothing of it was taken."""
+
+
+class StreamGapError(
+    ControlError, code="SR-CONTROL-GAP",
+    do="Nothing: the gateway resumes where it stands. If it lasts, restart the replica named.",
+):  # fmt: skip
+    """A change is missing in what a control replica sent; nothing after it was taken."""
+
+
+class ReplicaBehindError(
+    ControlError, code="SR-CONTROL-BEHIND",
+    do="Nothing, while it passes: another replica is asked. If it lasts, see `stackrouter control status` of"
+    " the replica: it does not reach the others.",
+):  # fmt: skip
+    """A control replica has an older state than the gateway, which never goes back."""
+
+
+class ReplicaSilentError(
+    ControlError, code="SR-CONTROL-SILENT",
+    do="See whether the replica runs and reaches a majority of the voters; another one is asked.",
+):  # fmt: skip
+    """A control replica did not answer in time."""
+
+
+class ReplicaRejectedError(
+    ControlError, code="SR-CONTROL-REJECTED",
+    do="See the reason in the line, and `stackrouter control status` of the replica; another one is asked.",
+):  # fmt: skip
+    """A control replica ended the connection and said why."""
+
+
 # --- traces and the command line
 
 
