Run control replicas as processes, and let gateways observe them

Needed: a gateway that takes policy and list from few replicas, without a vote and without entries of its own in the log.

Only a gateway with control { enabled } imports any of it. A member may hold some duties alone and lets others hear its store's events; policy calls take the check and the replicas' reports from outside (a replica has no gateway's file: where GW_CONFIG names none, a policy is checked against the newest version). policy status shows what the gateways of each replica serve under; control status reads both kinds.

Considered and not built, so not measured: a greenlet a connection with blocking reads (a stack for each of more than a thousand gateways), and a queue of its own for the list: the observer hands on a piece a turn of the loop.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -179,6 +179,8 @@
             return "SUCCESS serving"
         if call.startswith("policy ") and self.extras is not None:
             return self.extras.policy_call(call)
+        if call == "control status" and self.extras is not None:
+            return self.extras.control_status()
         return f"FAILURE {DoorCallError(f'{call[:40]!r}: not a call of this gateway').coded()}"
 
     def print_counters(self) -> None:
@@ -233,6 +235,7 @@
         if extras:
             extras.attach(gateway.engine, gateway.pool)
             extras.coordinate(gateway.discovery, gateway.counters, gateway.engine, gateway.take_policy)
+            extras.observe(gateway.discovery, gateway.counters, gateway.engine, gateway.take_policy)
             gateway.extras = extras
     except (StackrouterError, OSError) as error:
         wrong = error if isinstance(error, StackrouterError) else StartSystemError(error)
--- a/stackrouter/cli/main.py
+++ b/stackrouter/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from stackrouter.cli import bench, checks, demo, explain, fleet, model, policy, report, trace
+from stackrouter.cli import bench, checks, control, demo, explain, fleet, model, policy, report, trace
 from stackrouter.errors import StackrouterError
 
 app = typer.Typer(name="stackrouter", no_args_is_help=True, rich_markup_mode=None,
@@ -20,6 +20,7 @@
 app.command("demo")(demo.demo)
 app.add_typer(fleet.app, name="fleet")
 app.add_typer(policy.app, name="policy")
+app.add_typer(control.app, name="control")
 app.add_typer(model.app, name="model")
 app.add_typer(trace.app, name="trace")
 app.add_typer(report.app, name="report")
--- a/stackrouter/cli/policy.py
+++ b/stackrouter/cli/policy.py
@@ -34,6 +34,12 @@
               f"since {told.since_s:g} s, {'ready' if told.ready else 'not ready'}")  # fmt: skip
     for name, (version, for_s) in sorted(told.members.items()):
         out.print(f"  {name}: version {version} for {for_s} s")
+    for name, report in sorted(told.replicas.items()):
+        counts = ", ".join(f"{count} under version {version}" for version, count in report.by_version)
+        told_of = counts or "none has told"
+        out.print(f"  replica {name}: {report.gateways} gateways; {told_of}", soft_wrap=True)
+        if report.behind:
+            out.print(f"    behind: {', '.join(report.behind)}", soft_wrap=True)
     for number, digest, by in told.versions:
         out.print(f"  version {number}  {digest}  proposed by {by}")
 
@@ -57,7 +63,7 @@
 
 
 def _change(door: str, call: str) -> None:
-    kind, told = _call(door, call)
+    kind, told = call_door(door, call)
     print(told)
     raise typer.Exit(0 if kind == "SUCCESS" else NOT_SO)
 
@@ -68,7 +74,7 @@
 
     from stackrouter.coord.calls import PolicyStatus
 
-    kind, told = _call(door, "policy status")
+    kind, told = call_door(door, "policy status")
     if kind != "SUCCESS":
         raise DoorSaidNoError(told, address=door)
     try:
@@ -77,7 +83,7 @@
         raise DoorUnreachableError(f"no policy status: {error}", address=door) from None
 
 
-def _call(door: str, call: str) -> tuple[str, str]:
+def call_door(door: str, call: str) -> tuple[str, str]:
     """SUCCESS or FAILURE, and what was said."""
     try:
         with socket.create_connection(address_of(door, "--door"), ANSWER_S) as sock:
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -53,6 +53,9 @@
     writes_stated: bool = True  # FamilyInfo.ClassWrites has a flag for each class of Profiles
 
 
+NO_ADDRESS = "0.0.0.0:0"  # where a file must have one and none is used
+
+
 def address_of(text: Any, name: str) -> tuple[str, int]:
     host, _, port = str(text or "").rpartition(":")
     if not host or not port.isdigit() or int(port) > 65535:
@@ -103,6 +106,27 @@
     try:
         with open(environ.get("GW_CONFIG") or "", encoding="utf-8") as file:
             raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigValueError(error, file="policy") from None
+    return _under_policy(raw, text, environ)
+
+
+def check_policy(text: str, newest: str = "") -> None:
+    """Check a policy where no gateway's own file is at hand, as in a control replica. `newest`: the version
+    that it follows, whose plans must stay; empty: it is the first. Errors as in `with_policy`."""
+    base = newest or text
+    try:
+        raw = {"listen": NO_ADDRESS, "discovery": NO_ADDRESS, "settings": json.loads(base)["settings"]}
+    except KeyError as error:
+        raise ConfigKeyError("key is missing", file="policy", key=str(error.args[0])) from None
+    except (TypeError, ValueError) as error:
+        raise ConfigValueError(error, file="policy") from None
+    _under_policy(raw, text, {})
+
+
+def _under_policy(raw: dict[str, Any], text: str, environ: Mapping[str, str]) -> Config:
+    """A gateway's file with the settings of a policy."""
+    try:
         told = json.loads(text)
         check(told, text)
         plans = [[g["Name"] for g in s["Grades"]] for s in (raw["settings"], told["settings"])]
@@ -116,7 +140,7 @@
         raise error.within("policy") from None
     except KeyError as error:
         raise ConfigKeyError("key is missing", file="policy", key=str(error.args[0])) from None
-    except (OSError, TypeError, ValueError, AttributeError, IndexError) as error:
+    except (TypeError, ValueError, AttributeError, IndexError) as error:
         raise ConfigValueError(error, file="policy") from None
 
 
--- a/stackrouter/coord/calls.py
+++ b/stackrouter/coord/calls.py
@@ -10,14 +10,15 @@
 
 import hashlib
 import json
-from dataclasses import asdict, dataclass
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
 from stackrouter.config import with_policy
 from stackrouter.coord.ledger import MOST_BODY
 from stackrouter.coord.member import Member
 from stackrouter.coord.policy import OWN
-from stackrouter.coord.port import UNKNOWN, Propose
+from stackrouter.coord.port import UNKNOWN, Propose, ServingReport
 from stackrouter.errors import (
     ConfigError,
     DoorCallError,
@@ -36,7 +37,8 @@
 @dataclass(frozen=True, slots=True)
 class PolicyStatus:
     """What the door answers to `policy status`, as JSON. `version`: the newest committed; `members`: what
-    each serves under and for how many seconds; `versions`: number, digest, who proposed it."""
+    each serves under and for how many seconds; `versions`: number, digest, who proposed it; `replicas`: by
+    control replica, what its gateways served under when it last told."""
 
     version: int
     serving: int
@@ -45,11 +47,16 @@
     ready: bool
     members: dict[str, tuple[int, int]]
     versions: list[tuple[int, str, str]]
+    replicas: dict[str, ServingReport] = field(default_factory=dict)
 
 
 class PolicyCalls:
-    def __init__(self, member: Member, after_us: int) -> None:
-        self._member, self._after_us = member, after_us
+    """`check` raises a ConfigError for a policy that gateways cannot take. `reports`: what the control
+    replicas told of their gateways; none where gateways are members."""
+
+    def __init__(self, member: Member, after_us: int, check: Callable[[str], object] = with_policy,
+                 reports: Callable[[], dict[str, ServingReport]] = dict) -> None:  # fmt: skip
+        self._member, self._after_us, self._check, self._reports = member, after_us, check, reports
 
     def answer(self, call: str) -> str:
         try:
@@ -77,6 +84,7 @@
             ready=policy_state.ready(now),
             members=member.store.present(),
             versions=[(v.number, v.digest[:12], v.by) for v in versions],
+            replicas=self._reports(),
         )
         return json.dumps(asdict(told), separators=(",", ":"))
 
@@ -89,7 +97,7 @@
         return versions[base - 1].body
 
     def _propose(self, base: int, body: str) -> str:
-        with_policy(body)
+        self._check(body)
         digest = hashlib.sha256(body.encode()).hexdigest()
         command = Propose(self._member.name, base, digest, body, self._after_us)
         why = self._member.ask_and_wait(command, ANSWER_S)
--- a/stackrouter/coord/join.py
+++ b/stackrouter/coord/join.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from stackrouter.config import address_of
 from stackrouter.coord.lease import Timing
@@ -17,6 +18,9 @@
 from stackrouter.errors import EdgeNameError, FolderError, TimesError
 from stackrouter.net.discovery import Discovery
 
+if TYPE_CHECKING:
+    from stackrouter.coord.raft import Raft
+
 log = logging.getLogger(__name__)
 
 RENEWALS = 4  # asked for within the time that a lease may be acted under: three may be lost
@@ -34,20 +38,14 @@
          take_policy: Callable[[str], None]) -> Member:  # fmt: skip
     """A ConfigError: this gateway is not among the peers, or the journal's folder cannot be written."""
     name = conf.member or name
-    names = [peer.name for peer in conf.peer]
-    if conf.store == "raft" and name not in names:
-        what = f"must be one of the peers ({', '.join(names)}), not {name!r}"
-        raise EdgeNameError(what, key="coordination.member")
-    position = names.index(name) if name in names else 0
+    position = position_of(conf, name)
     rate = 1 + (conf.drill.clock_ppm / 1e6 if conf.drill else 0.0)
     clock = partial(boottime_us, rate)
-    member = Member(name, store(conf, position), timing(conf, position, len(names)), conf.stale_ms * 1000,
+    member = Member(name, store(conf, position), timing(conf, position, len(conf.peer)), conf.stale_ms * 1000,
                     counters, clock=clock)  # fmt: skip
     member.join(discovery)
     if conf.policy.enabled:
-        touch_us = conf.policy.touch_ms * 1000
-        rules = Rules(touch_us, touch_us * conf.max_drift_ms // conf.ttl_ms, conf.policy.on_loss == "refuse")
-        member.keep_policy(rules, take_policy)
+        member.keep_policy(policy_rules(conf), take_policy)
     member.start()
     if conf.drill is not None:
         from stackrouter.coord.drill import Drill
@@ -58,11 +56,32 @@
     return member
 
 
+def position_of(conf: Coordination, name: str) -> int:
+    """This member's place among the peers."""
+    names = [peer.name for peer in conf.peer]
+    if conf.store == "raft" and name not in names:
+        what = f"must be one of the peers ({', '.join(names)}), not {name!r}"
+        raise EdgeNameError(what, key="coordination.member")
+    return names.index(name) if name in names else 0
+
+
+def policy_rules(conf: Coordination) -> Rules:
+    """When a member may serve under which version, by the clocks' bounds."""
+    validity_us = conf.policy.touch_ms * 1000
+    drift_us = validity_us * conf.max_drift_ms // conf.ttl_ms
+    return Rules(validity_us, drift_us, conf.policy.on_loss == "refuse")
+
+
 def store(conf: Coordination, position: int) -> Store:
     if conf.store == "etcd":
         from stackrouter.coord.etcd import Etcd
 
         return Etcd([address_of(a, "etcd") for a in conf.etcd], conf.prefix, conf.ttl_ms * 1000)
+    return raft_store(conf, position)
+
+
+def raft_store(conf: Coordination, position: int) -> Raft:
+    """The embedded adapter."""
     from stackrouter.coord.raft import Peer, Raft
 
     peers = [Peer(peer.name, peer.address, peer.dial) for peer in conf.peer]
--- a/stackrouter/coord/member.py
+++ b/stackrouter/coord/member.py
@@ -7,7 +7,7 @@
 import logging
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import gevent
@@ -22,6 +22,7 @@
     Answered,
     Command,
     Coordination,
+    Event,
     LeaseSeen,
     ListingSeen,
     PolicySeen,
@@ -56,18 +57,19 @@
 
 class Member:
     def __init__(self, name: str, store: Coordination, timing: Timing, stale_us: int, counters: Counters,
-                 clock: Callable[[], int] = boottime_us) -> None:  # fmt: skip
+                 clock: Callable[[], int] = boottime_us, duties: Sequence[str] = DUTIES) -> None:  # fmt: skip
         # Another life under the same name must not pass for this one.
         self.name, self.life = name, f"{name}#{os.getpid():x}.{time.time_ns() & 0xFFFFFFFF:x}"
         self.store, self.counters, self.clock = store, counters, clock
         now = clock()
-        self.keepers = {d: LeaseKeeper(d, self.life, timing, now, store.store_expires) for d in DUTIES}
+        self.keepers = {d: LeaseKeeper(d, self.life, timing, now, store.store_expires) for d in duties}
         self.follower = Follower(stale_us)
         self.term = TermSeen(0, "")
         self.policy_state: PolicyStateMachine | None = None  # None: each member serves under its own file
         self._take_policy: Callable[[str], None] = lambda text: None
         self._waiting: dict[int, AsyncResult[str]] = {}  # by number, who waits for an answer
         self._discovery: Discovery | None = None
+        self._subscribers: list[Callable[[Event], None]] = []
         self._published = -1  # number of the last publish, for its refusal
         self._due = Flag()
         self._async: Any = gevent.get_hub().loop.async_()
@@ -83,6 +85,10 @@
         self._discovery = discovery
         discovery.fleet = self
 
+    def subscribe(self, heard: Callable[[Event], None]) -> None:
+        """Have every event of the store told, in order, before this member acts on it."""
+        self._subscribers.append(heard)
+
     def keep_policy(self, rules: Rules, take: Callable[[str], None]) -> None:
         """Serve under the fleet's policy. `take` makes a version's settings hold here, or raises."""
         self.policy_state, self._take_policy = PolicyStateMachine(rules), take
@@ -148,6 +154,8 @@
             self._due.clear()
             try:
                 for event in self.store.events():
+                    for subscriber in self._subscribers:
+                        subscriber(event)
                     self._heard(event)
                 for keeper in self.keepers.values():
                     self._do(keeper, keeper.tick(self.clock()))
@@ -162,7 +170,7 @@
             left = (min(times) - self.clock()) / 1e6 if times else LONGEST_WAIT_S
             self._due.wait(min(LONGEST_WAIT_S, max(0.001, left)))
 
-    def _heard(self, event: object) -> None:
+    def _heard(self, event: Event) -> None:
         now = self.clock()
         match event:
             case Answered():
--- a/stackrouter/edge/config.py
+++ b/stackrouter/edge/config.py
@@ -147,12 +147,12 @@
     """What a control replica takes and holds at most."""
 
     gateways: Annotated[int, Ge(1), Le(20_000)] = 2000
-    queued_kb: Annotated[int, Ge(64), Le(1 << 20)] = 8192
+    queued_kb: Annotated[int, Ge(64), Le(1 << 20)] = 4096
     snapshots: Annotated[int, Ge(1), Le(1000)] = 8
-    snapshot_kb_s: Annotated[int, Ge(64), Le(1 << 22)] = 65_536
+    snapshot_kb_s: Annotated[int, Ge(64), Le(1 << 22)] = 16_384
     deltas: Annotated[int, Ge(1), Le(1_000_000)] = 4096
-    deltas_kb: Annotated[int, Ge(64), Le(1 << 20)] = 16_384
-    barrier_interval_ms: Annotated[int, Ge(1), Le(10_000)] = 50
+    deltas_kb: Annotated[int, Ge(64), Le(1 << 20)] = 8192
+    barrier_interval_ms: Annotated[int, Ge(1), Le(10_000)] = 100
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackrouter/edge/wiring.py
+++ b/stackrouter/edge/wiring.py
@@ -17,14 +17,24 @@
 from stackrouter.core.engine import Engine, clock_us
 from stackrouter.edge.config import Edge
 from stackrouter.edge.load import load_apart
-from stackrouter.errors import LeftOutError, MissingExtraError, NoPolicyError, TraceWriteError, tell
+from stackrouter.errors import (
+    EdgeValueError,
+    LeftOutError,
+    MissingExtraError,
+    NoControlError,
+    NoPolicyError,
+    TraceWriteError,
+    tell,
+)
 from stackrouter.fronts.sftp.config import settings as sftp_settings
 from stackrouter.net.pool import Pool
 
 if TYPE_CHECKING:
     from stackrouter.accounts.live import Live
+    from stackrouter.controlplane.gateway import GatewayControl
     from stackrouter.coord.calls import PolicyCalls
     from stackrouter.coord.member import Member
+    from stackrouter.coord.policy import PolicyStateMachine
     from stackrouter.core.counters import Counters
     from stackrouter.net.discovery import Discovery
     from stackrouter.trace.record import Recorder
@@ -45,6 +55,7 @@
         self.recorder: Recorder | None = None
         self.member: Member | None = None
         self.calls: PolicyCalls | None = None
+        self.control: GatewayControl | None = None
         self._due = Event()  # a block's worth of facts waits to be written
         try:
             if self.edge.log.format != "plain":
@@ -92,14 +103,45 @@
             self.calls = PolicyCalls(self.member, conf.policy.after_ms * 1000)
             engine.held = self.member.holds_back
 
+    def observe(self, discovery: Discovery, counters: Counters, engine: Engine,
+                take_policy: Callable[[str], None]) -> None:  # fmt: skip
+        """Observe the control plane. A ConfigError: a library is missing, or the file is a replica's."""
+        conf = self.edge.control
+        if conf.listen:
+            what = "is for a replica: `stackrouter control serve FILE`"
+            raise EdgeValueError(what, key="control.listen")
+        if not conf.enabled:
+            return
+        try:
+            from stackrouter.controlplane.gateway import GatewayControl
+        except ImportError as error:
+            what = f"needs {error.name}: install stackrouter[coord]"
+            raise MissingExtraError(what, key="control") from None
+
+        self.control = GatewayControl(self.config.name, conf, discovery, counters, take_policy)
+        engine.held = self.control.holds_back
+        self.control.start()
+
     def policy_in_force(self) -> bool:
-        policy_state = self.member.policy_state if self.member is not None else None
+        policy_state: PolicyStateMachine | None = None
+        if self.control is not None:
+            policy_state = self.control.policy
+        elif self.member is not None:
+            policy_state = self.member.policy_state
         return policy_state is not None and policy_state.serving.number > 0
 
     def not_ready(self) -> str:
         """Why the door may not say yes; empty: it may."""
+        if self.control is not None:
+            return self.control.not_ready()
         return self.member.not_ready() if self.member is not None else ""
 
+    def control_status(self) -> str:
+        """The door's answer to `control status`."""
+        if self.control is None:
+            return f"FAILURE {NoControlError('this gateway observes no control plane').coded()}"
+        return self.control.status()
+
     def policy_call(self, call: str) -> str:
         """The door's answer to `policy ...`."""
         if self.calls is None:
@@ -138,5 +180,7 @@
     def close(self) -> None:
         if self.member is not None:
             self.member.close()
+        if self.control is not None:
+            self.control.close()
         if self.recorder is not None:
             self.recorder.close()
--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -428,7 +428,14 @@
 
 
 class ControlError(StackrouterError):
-    """A connection between a gateway and a control replica was ended."""
+    """What went wrong between a gateway and the control plane."""
+
+
+class NoControlError(
+    ControlError, code="SR-CONTROL-OFF",
+    do="Set control { enabled region replica } in the operator's file of this gateway.",
+):  # fmt: skip
+    """This gateway observes no control plane."""
 
 
 class FrameError(ControlError):
