Hold the control plane's invariants under faults; keep the active version retained

Seen: the new state machine test, played for 400 examples (a trial), ended with gateways that could never serve: nine versions had been committed while the first was active, the ledger kept the eight newest, and whoever started after that was never told the active one. Cause: _propose kept the newest eight, whichever was active. Change: the active version stays among the eight, and a version that is not retained any more cannot be activated.

--- a/stackrouter/controlplane/replica.py
+++ b/stackrouter/controlplane/replica.py
@@ -513,10 +513,13 @@
                 slow = f"its snapshot was not taken in {limits.snapshot_within_us // 1000} ms"
                 actions += self._reject(known.reader, READER_TOO_SLOW, slow)
         for ahead, reader in enumerate(list(self._snapshot_queue)):
-            queued = encode(Frame(snapshot_queued=SnapshotQueued(ahead=ahead)))
-            self._write(self._readers[reader], queued, actions)
+            self._tell_queued(self._readers[reader], ahead, actions)
         self._pump_snapshots(now, actions)
 
+    def _tell_queued(self, known: _Reader, ahead: int, actions: list[ReplicaAction]) -> None:
+        queued = SnapshotQueued(ahead=ahead)
+        self._write(known, encode(Frame(snapshot_queued=queued)), actions)
+
     # --- who serves under what
 
     def _count_serving(self, known: _Reader, serving: int) -> None:
@@ -558,10 +561,11 @@
         self._log = DeltaLog(self._state.position, limits.most_log_entries, limits.most_log_bytes)
         self._snapshot = None
         actions: list[ReplicaAction] = []
-        for known in self._gateways.values():
+        for known in list(self._gateways.values()):
             if known.phase is not Phase.QUEUED:
                 self._leave_snapshots(known)
                 self._queue_snapshot(known, now)
+                self._tell_queued(known, len(self._snapshot_queue) - 1, actions)
         self._pump_snapshots(now, actions)
         return actions
 
--- a/stackrouter/controlplane/snapshot.py
+++ b/stackrouter/controlplane/snapshot.py
@@ -21,7 +21,7 @@
     version_from,
 )
 from stackrouter.controlplane.frames_pb2 import Delta, Frame, Node, NodeChanges, SnapshotChunk, SnapshotPart
-from stackrouter.coord.ledger import MOST_NODES, MOST_VERSIONS
+from stackrouter.coord.ledger import MOST_NODES, MOST_VERSIONS, retained
 from stackrouter.coord.policy import Version
 from stackrouter.coord.port import LedgerState, LogPosition
 from stackrouter.errors import SnapshotRefusedError
@@ -55,8 +55,7 @@
         """Take the next change."""
         match delta.WhichOneof("change"):
             case "committed":
-                version = version_from(delta.committed)
-                self.policies = [*self.policies[1 - MOST_VERSIONS :], version]
+                self.policies = retained([*self.policies, version_from(delta.committed)], self.active)
             case "activated":
                 self.active = delta.activated
             case "nodes":
--- a/stackrouter/coord/ledger.py
+++ b/stackrouter/coord/ledger.py
@@ -118,6 +118,8 @@
             case Activate():
                 if not self.active < command.number <= self.version():
                     return "active", []  # another member asked first
+                if all(version.number != command.number for version in self.policies):
+                    return "gone", []  # so many came after it that nobody who starts could learn it
                 self.active = command.number
                 return "", [ActiveSeen(command.number, self._count())]
             case Present():
@@ -179,7 +181,7 @@
         if len(command.body) > MOST_BODY:
             return "size", []
         version = Version(command.base + 1, command.digest, command.body, command.after_us, command.member)
-        self.policies = [*self.policies[1 - MOST_VERSIONS :], version]
+        self.policies = retained([*self.policies, version], self.active)
         return "", [PolicySeen(version, self._count())]
 
     def lease(self, duty: str) -> Lease:
@@ -215,5 +217,13 @@
         return [LeaseSeen(lease)]
 
 
+def retained(versions: list[Version], active: int) -> list[Version]:
+    """The newest versions, and the active one, which everyone who starts has to be told."""
+    if len(versions) <= MOST_VERSIONS:
+        return versions
+    oldest = next(version for version in versions if version.number != active)
+    return [version for version in versions if version is not oldest]
+
+
 def _slots(ledger: Ledger) -> dict[str, Any]:
     return {slot.name: getattr(ledger, slot.name) for slot in fields(ledger)}
--- /dev/null
+++ b/tests/control_plane_world.py
@@ -0,0 +1,498 @@
+"""A control plane in one process without I/O: a quorum, replicas, gateways with clocks of their own, faults.
+
+Time is real time in microseconds; a gateway's clock runs at its own rate. Connections are FIFO: bytes arrive
+in order or, with the whole connection, never. `check` holds the invariants after each step.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+from stackrouter.controlplane.codec import MOST_TO_GATEWAY, MOST_TO_REPLICA, FrameDecoder, encode
+from stackrouter.controlplane.conversion import REMOVED, delta_from
+from stackrouter.controlplane.observer import (
+    Connect,
+    GatewayIdentity,
+    Hangup,
+    Link,
+    Observer,
+    ObserverAction,
+    ObserverTimes,
+    SendFrame,
+    TakeNodes,
+    TakePolicy,
+)
+from stackrouter.controlplane.replica import (
+    Close,
+    ReloadState,
+    ReplicaAction,
+    ReplicaLimits,
+    ReplicaStateMachine,
+    StartBarrier,
+    Write,
+)
+from stackrouter.controlplane.routing import ReplicaAddress
+from stackrouter.controlplane.snapshot import ReplicatedState
+from stackrouter.coord.ledger import Ledger
+from stackrouter.coord.policy import PolicyStateMachine, Rules
+from stackrouter.coord.port import (
+    Acquire,
+    Activate,
+    ActiveSeen,
+    Barrier,
+    BeginHistory,
+    Command,
+    ListingSeen,
+    PolicySeen,
+    Propose,
+    Publish,
+)
+
+MS = 1000
+STEP_US = 25 * MS
+VALIDITY_US, MAX_DRIFT_US = 800 * MS, 80 * MS
+DRIFT = 0.1  # rates of clocks lie within 1 - DRIFT and 1 + DRIFT: 720 ms of the slowest are 800 ms
+AFTER_US = 1200 * MS
+RULES = Rules(validity_us=VALIDITY_US, max_drift_us=MAX_DRIFT_US)
+LATENCY_US, SLOW_US = 10 * MS, 250 * MS  # at most, one way; of a slow gateway
+LIMITS = ReplicaLimits(
+    most_gateways=4, most_unknown=8, hello_within_us=200 * MS, silence_us=1000 * MS,
+    barrier_interval_us=30 * MS, barrier_timeout_us=150 * MS, snapshots_at_once=1,
+    snapshot_bytes_s=100_000, snapshot_window_bytes=4000, snapshot_within_us=1000 * MS,
+    most_log_entries=4, most_resume_bytes=2000, most_delta_bytes=4000, retry_after_us=20 * MS,
+)  # fmt: skip
+TIMES = ObserverTimes(
+    connect_within=300 * MS, welcome_within=600 * MS, silence=700 * MS, snapshot_within=2500 * MS,
+    good_after=500 * MS, backoff_base=10 * MS, backoff_most=60 * MS,
+)  # fmt: skip
+REPLICA_NAMES = ("r0", "r1", "r2")
+Nodes = dict[str, float]  # weight by name
+Change = PolicySeen | ActiveSeen | ListingSeen
+
+
+def settled(ledger: Ledger) -> Nodes:
+    """The nodes of a ledger, without those that were removed."""
+    items = ledger.listings.items.values()
+    return {item["name"]: item["weight"] for item in items if item["status"] != REMOVED}
+
+
+@dataclass
+class History:
+    """The group from one beginning to the next: its log of commands and what they came to."""
+
+    order: int
+    begun_at: int
+    ledger: Ledger = field(default_factory=Ledger)
+    log: list[tuple[Command, int]] = field(default_factory=list)  # with the replica's life that asked
+    committed_at: list[tuple[int, int]] = field(default_factory=list)  # time, number
+    activated_at: dict[int, int] = field(default_factory=dict)  # by version
+    proposed_at: dict[int, int] = field(default_factory=dict)
+    nodes_at: dict[int, Nodes] = field(default_factory=dict)  # by number
+    ended_at: int | None = None
+
+    @property
+    def identity(self) -> str:
+        return f"history-{self.order}"
+
+    def commit(self, command: Command, now: int, asker: int = 0) -> str:
+        """The quorum commits a command."""
+        self.log.append((command, asker))
+        why, _ = self.ledger.apply(command)
+        if not why and self.ledger.number not in self.nodes_at:
+            self.committed_at.append((now, self.ledger.number))
+            self.nodes_at[self.ledger.number] = settled(self.ledger)
+            match command:
+                case Propose():
+                    self.proposed_at[self.ledger.version()] = now
+                case Activate():
+                    self.activated_at[command.number] = now
+        return why
+
+    def number_at(self, time: int) -> int:
+        """The number of the last change that was committed by then."""
+        return max((number for at, number in self.committed_at if at <= time), default=0)
+
+
+@dataclass
+class Connection:
+    """Bytes under way between a gateway and a replica, each with the time at which it arrives."""
+
+    number: int
+    gateway: Gateway
+    replica: Replica
+    up: deque[tuple[int, bytes]] = field(default_factory=deque)
+    down: deque[tuple[int, bytes]] = field(default_factory=deque)
+    to_replica: FrameDecoder = field(default_factory=lambda: FrameDecoder(MOST_TO_REPLICA))
+    to_gateway: FrameDecoder = field(default_factory=lambda: FrameDecoder(MOST_TO_GATEWAY))
+    accepted: bool = False
+    stalled: bool = False
+    closing: bool = False  # the replica closed it: the gateway hears of that after what is under way
+
+
+class Replica:
+    """A replica's process: its own copy of the ledger, which outlives a restart, and its state machine."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.cut = False  # from the quorum
+        self.lagging = False  # it applies nothing
+        self.slow = False  # it hands in and applies some time later
+        self.lives = 0
+        self.join()
+
+    def join(self) -> None:
+        """A member of the present history with nothing applied."""
+        self.history = self.world.history
+        self.ledger = Ledger()
+        self.applied = 0  # entries of the log
+        self.start()
+
+    def start(self) -> None:
+        """The process starts (again): what was in memory is gone, the ledger is not."""
+        self.lives += 1
+        self.life = self.world.rng.getrandbits(60) | 1
+        self.machine = self.world.replica_class(f"{self.name}", LIMITS)
+        self.pending: list[Command] = []  # barriers on their way to the quorum
+        self.barriers: list[int] = []  # ids, in the order in which they were handed in
+        self.state_wanted = False
+        self.do(self.machine.loaded(ReplicatedState.of(self.ledger.state()), self.world.now))
+
+    def step(self) -> None:
+        """Some time has passed."""
+        now = self.world.now
+        rng = self.world.rng
+        if not self.cut and not self.is_old() and not (self.slow and rng.random() < 0.5):
+            for command in self.pending:
+                self.history.commit(command, now, self.life)
+            self.pending = []
+        if not self.cut and not self.lagging:
+            newest = len(self.history.log)
+            upto = rng.randint(self.applied, newest) if self.slow else newest
+            self.apply_to(upto)
+        if self.state_wanted:
+            self.state_wanted = False
+            self.do(self.machine.loaded(ReplicatedState.of(self.ledger.state()), now))
+        if now >= self.machine.next_at():
+            self.do(self.machine.tick(now))
+
+    def apply_to(self, entry: int) -> None:
+        """Apply the log up to this entry."""
+        while self.applied < entry:
+            self.apply(*self.history.log[self.applied])
+
+    def is_old(self) -> bool:
+        return self.history is not self.world.history
+
+    def apply(self, command: Command, asker: int) -> None:
+        now = self.world.now
+        self.applied += 1
+        _, events = self.ledger.apply(command)
+        for event in events:
+            if isinstance(event, PolicySeen | ActiveSeen | ListingSeen):
+                self.do(self.machine.committed(self.ledger.number, delta_from(event), now))
+        if isinstance(command, Barrier) and asker == self.life:
+            barrier = self.barriers.pop(0)
+            self.do(self.machine.barrier_confirmed(barrier, self.ledger.position(), now))
+            if self.world.rng.random() < 0.1:  # an answer that comes twice says nothing new
+                self.do(self.machine.barrier_confirmed(barrier, self.ledger.position(), now))
+
+    def jump(self) -> None:
+        """A snapshot of the library comes in place of commands."""
+        if self.cut or self.is_old() or self.applied == len(self.history.log):
+            return
+        asked = [(c, a) for c, a in self.history.log[self.applied :] if isinstance(c, Barrier)]
+        del self.barriers[: sum(asker == self.life for _, asker in asked)]  # never answered
+        self.ledger = copy.deepcopy(self.history.ledger)
+        self.applied = len(self.history.log)
+        self.do(self.machine.loaded(ReplicatedState.of(self.ledger.state()), self.world.now))
+
+    def do(self, actions: list[ReplicaAction]) -> None:
+        for action in actions:
+            match action:
+                case Write():
+                    connection = self.world.connections.get(action.reader)
+                    if connection is not None:
+                        self.world.send(connection.gateway, connection.down, action.data)
+                case Close():
+                    connection = self.world.connections.get(action.reader)
+                    if connection is not None:
+                        connection.closing = True
+                case StartBarrier():
+                    self.barriers.append(action.barrier)
+                    self.pending.append(Barrier(self.name, action.report))
+                case ReloadState():
+                    self.state_wanted = True
+
+
+class Gateway:
+    """A gateway's process: its clock, its observer, what it has taken."""
+
+    def __init__(self, world: World, name: str, rate: float) -> None:
+        self.world, self.name, self.rate = world, name, rate
+        self.offset = world.rng.randrange(1 << 40)
+        self.lives = 0
+        self.hangups: list[Hangup] = []
+        self.isolated = False  # nothing moves on its connections
+        self.slow = False  # everything does slowly
+        self.start()
+
+    def start(self) -> None:
+        self.lives += 1
+        self.connection: Connection | None = None
+        self.policy = PolicyStateMachine(RULES)
+        identity = GatewayIdentity(self.name, f"{self.name}-{self.lives}", "here")
+        addresses = [ReplicaAddress(name, f"{name}:1", "here") for name in REPLICA_NAMES]
+        self.observer = Observer(identity, addresses, self.policy, self.world.rng, TIMES)
+        self.nodes: Nodes = {}
+        self.partial: Nodes = {}
+        self.reached: tuple[int, int, int] = (0, 0, 0)  # history, number, version: never less again
+
+    def clock(self) -> int:
+        return self.offset + int(self.world.now * self.rate)
+
+    def step(self) -> None:
+        while self.observer.next_at() <= self.clock():
+            self.do(self.observer.tick(self.clock()))
+
+    def do(self, actions: list[ObserverAction]) -> None:
+        for action in actions:
+            match action:
+                case Connect():
+                    self.world.connect(self, action.replica.name)
+                case SendFrame():
+                    assert self.connection is not None
+                    self.world.send(self, self.connection.up, encode(action.frame))
+                case Hangup():
+                    self.hangups.append(action)
+                    self.world.drop(self.connection)
+                    self.connection = None
+                case TakePolicy():
+                    self.do(self.observer.policy_taken(action.version, True, self.clock()))
+                case TakeNodes():
+                    self.take(action)
+
+    def take(self, piece: TakeNodes) -> None:
+        if piece.first:
+            self.partial = {} if piece.whole else dict(self.nodes)
+        for node in piece.nodes:
+            if node.status == REMOVED:
+                self.partial.pop(node.name, None)
+            else:
+                self.partial[node.name] = node.weight
+        if piece.last:
+            self.nodes = self.partial
+
+
+class World:
+    """The whole, with its faults as flags and methods."""
+
+    def __init__(
+        self,
+        seed: int,
+        rates: tuple[float, ...],
+        replica_class: type[ReplicaStateMachine] = ReplicaStateMachine,
+    ) -> None:
+        self.rng, self.replica_class = Random(seed), replica_class
+        self.now = 0
+        self.connections: dict[int, Connection] = {}
+        self.connected = 0
+        self.served = 0  # how often a gateway served at a check, so that a test can see it was no empty run
+        self.histories: list[History] = []
+        self.begin_history()
+        self.replicas = {name: Replica(self, name) for name in REPLICA_NAMES}
+        self.gateways = [Gateway(self, f"g{i}", rate) for i, rate in enumerate(rates)]
+
+    @property
+    def history(self) -> History:
+        return self.histories[-1]
+
+    def begin_history(self) -> None:
+        history = History(len(self.histories) + 1, self.now)
+        history.commit(BeginHistory("r0", history.identity), self.now)
+        history.commit(Acquire("watch", "r0", (0, 0)), self.now)
+        if self.histories:
+            self.history.ended_at = self.now
+        self.histories.append(history)
+
+    # --- what an operator and discovery do
+
+    def propose(self) -> None:
+        base = self.history.ledger.version()
+        self.history.commit(Propose("op", base, f"d{base + 1}", "{}", AFTER_US), self.now)
+
+    def activate(self) -> None:
+        """A voter activates the newest version whose delay is over by the fastest clock there may be."""
+        history = self.history
+        ripe = [n for n, at in history.proposed_at.items() if (self.now - at) * (1 + DRIFT) >= AFTER_US]
+        if ripe and max(ripe) > history.ledger.active:
+            history.commit(Activate("r0", max(ripe)), self.now)
+
+    def publish(self, whole: bool, count: int) -> None:
+        ledger = self.history.ledger
+        names = [f"n{self.rng.randrange(3 * count)}" for _ in range(count)]
+        statuses = {name: "up" if whole or self.rng.random() < 0.7 else REMOVED for name in names}
+        items = [
+            {"name": name, "address": "127.0.0.1:1", "group": 0, "status": status, "zone": "z", "type": "t",
+             "weight": self.rng.random()}
+            for name, status in statuses.items()
+        ]  # fmt: skip
+        base = None if whole or ledger.listings.index < 0 else ledger.listings.index
+        listing = {"index": ledger.listings.index + 1, "endpoints": items}
+        assert not self.history.commit(Publish("watch", "r0", 1, base, listing), self.now)
+
+    # --- the network
+
+    def send(self, gateway: Gateway, queue: deque[tuple[int, bytes]], data: bytes) -> None:
+        at = self.now + self.rng.randrange(SLOW_US if gateway.slow else LATENCY_US)
+        queue.append((max(at, queue[-1][0]) if queue else at, data))
+
+    def connect(self, gateway: Gateway, name: str) -> None:
+        self.connected += 1
+        gateway.connection = Connection(self.connected, gateway, self.replicas[name])
+        self.connections[self.connected] = gateway.connection
+
+    def drop(self, connection: Connection | None, told: bool = True) -> None:
+        """The connection is over; what was under way is lost. Not `told`: the replica hears of it later."""
+        if connection is None or connection.number not in self.connections:
+            return
+        del self.connections[connection.number]
+        if told:
+            replica = connection.replica
+            replica.do(replica.machine.disconnected(connection.number, self.now))
+
+    def cut(self, gateway: Gateway, told_gateway: bool, told_replica: bool) -> None:
+        """A gateway's connection is lost; who is not told has to notice by itself."""
+        connection = gateway.connection
+        if connection is None:
+            return
+        self.drop(connection, told_replica)
+        if told_gateway:
+            gateway.connection = None
+            gateway.do(gateway.observer.disconnected(gateway.clock()))
+        else:
+            connection.stalled = True
+
+    def restart_replica(self, replica: Replica) -> None:
+        for connection in list(self.connections.values()):
+            if connection.replica is replica:
+                self.cut(connection.gateway, True, False)
+        replica.start()
+
+    def restart_gateway(self, gateway: Gateway) -> None:
+        self.drop(gateway.connection)
+        gateway.start()
+
+    def begin_anew(self, left_behind: list[Replica]) -> None:
+        """The group is begun anew; some replicas do not know, and have no quorum any more."""
+        self.begin_history()
+        for replica in self.replicas.values():
+            if replica not in left_behind:
+                for connection in list(self.connections.values()):
+                    if connection.replica is replica:
+                        self.cut(connection.gateway, True, False)
+                replica.join()
+
+    # --- time
+
+    def run(self, duration_us: int) -> None:
+        until = self.now + duration_us
+        while self.now < until:
+            self.now += STEP_US
+            for replica in self.replicas.values():
+                replica.step()
+            for connection in list(self.connections.values()):
+                if not connection.stalled and not connection.gateway.isolated:
+                    self.deliver(connection)
+            for gateway in self.gateways:
+                gateway.step()
+            self.check()
+
+    def deliver(self, connection: Connection) -> None:
+        gateway, replica, reader = connection.gateway, connection.replica, connection.number
+        if reader not in self.connections:
+            return  # lost earlier in this step
+        if not connection.accepted:
+            connection.accepted = True
+            replica.do(replica.machine.accepted(reader, self.now))
+            gateway.do(gateway.observer.connected(gateway.clock()))
+        for piece in self.arrived(connection.up):
+            for frame in connection.to_replica.feed(piece):
+                replica.do(replica.machine.received(reader, frame, self.now))
+        for piece in self.arrived(connection.down):
+            for frame in connection.to_gateway.feed(piece):
+                if connection.number in self.connections:
+                    gateway.do(gateway.observer.received(frame, gateway.clock()))
+        waiting = sum(len(data) for _, data in connection.down)
+        replica.do(replica.machine.queued(reader, waiting, self.now))
+        if connection.closing and not connection.down and gateway.connection is connection:
+            self.drop(connection)
+            gateway.connection = None
+            gateway.do(gateway.observer.disconnected(gateway.clock()))
+
+    def arrived(self, queue: deque[tuple[int, bytes]]) -> list[bytes]:
+        """What has come by now, in pieces that do not end where frames do."""
+        data = b""
+        while queue and queue[0][0] <= self.now:
+            data += queue.popleft()[1]
+        cut = self.rng.randrange(len(data) + 1)
+        return [piece for piece in (data[:cut], data[cut:]) if piece]
+
+    # --- invariants
+
+    def check(self) -> None:
+        for gateway in self.gateways:
+            self.check_gateway(gateway)
+
+    def check_gateway(self, gateway: Gateway) -> None:
+        observer, policy, clock = gateway.observer, gateway.policy, gateway.clock()
+        position = observer.position
+        if not position.history:
+            assert not policy.serves(clock), "serves without a state"
+            return
+        history = self.histories[int(position.history.rpartition("-")[2]) - 1]
+        reached = history.order, position.number, policy.serving.number
+        assert reached[:2] >= gateway.reached[:2], f"went back: {gateway.reached} {reached}"
+        if reached[0] == gateway.reached[0]:
+            assert reached[2] >= gateway.reached[2], f"went back: {gateway.reached} {reached}"
+        gateway.reached = reached
+        if not observer._pending and history.ledger.listings.index >= 0:
+            known = history.nodes_at[position.number]
+            assert gateway.nodes == known or not known, f"nodes differ at {position}"
+        if not policy.heartbeat_valid(clock):
+            return
+        # Whatever was committed longer ago than the validity is known here.
+        proved = history.number_at(self.now - VALIDITY_US)
+        assert position.number >= proved, f"valid at {position.number}, {proved} was committed in time"
+        if history.ended_at is not None:
+            assert self.now <= history.ended_at + VALIDITY_US, "valid in a history that has ended"
+        if policy.serves(clock):
+            self.served += 1
+            self.check_version(policy.serving.number, history)
+
+    def check_version(self, version: int, history: History) -> None:
+        """Requests are served under an active version, and under one that was replaced only for so long."""
+        assert not version or version in history.activated_at, f"{version} is not active"
+        for newer, at in history.activated_at.items():
+            if newer > version:
+                assert self.now <= at + VALIDITY_US, f"serves under {version}, {newer} is active since {at}"
+
+    def settle(self, duration_us: int = 5000 * MS) -> None:
+        """Without faults all gateways come to the newest state and serve."""
+        for replica in self.replicas.values():
+            replica.cut = replica.lagging = replica.slow = False
+            if replica.is_old():
+                replica.join()
+        for gateway in self.gateways:
+            gateway.isolated = gateway.slow = False
+            if gateway.connection is not None and gateway.connection.number in self.connections:
+                gateway.connection.stalled = False
+        self.run(duration_us)
+        newest = self.history.ledger.position()
+        for gateway in self.gateways:
+            assert gateway.observer.link is Link.LIVE, f"{gateway.name} is not connected"
+            assert gateway.observer.position == newest, f"{gateway.name} is left behind"
+            assert gateway.policy.serves(gateway.clock()), f"{gateway.name} does not serve"
+            assert gateway.policy.serving.number == self.history.ledger.active
