--- a/stackrouter/controlplane/replica.py
+++ b/stackrouter/controlplane/replica.py
@@ -10,11 +10,10 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
 from dataclasses import dataclass
 from enum import Enum
-from itertools import islice
 
+from stackrouter.controlplane.barriers import ReadBarriers
 from stackrouter.controlplane.codec import encode
 from stackrouter.controlplane.conversion import position_from
 from stackrouter.controlplane.delta_log import DeltaLog
@@ -37,8 +36,9 @@
     SnapshotQueued,
     Welcome,
 )
+from stackrouter.controlplane.serving import ServingCounts
 from stackrouter.controlplane.snapshot import ReplicatedState, Snapshot
-from stackrouter.coord.ledger import MOST_REPORTED
+from stackrouter.controlplane.snapshot_queue import SnapshotQueue
 from stackrouter.coord.port import LogPosition, ServingReport
 from stackrouter.errors import FrameError, FrameTooLargeError
 
@@ -125,9 +125,6 @@
     serving: int = -1  # version, by its last heartbeat; -1: it sent none
     failed: int = 0
     number: int = 0  # of the last change that it said it has
-    snapshot: Snapshot | None = None
-    next_part: int = 0
-    snapshot_due: int = 0  # its snapshot has to be taken by then
     owed: tuple[int, LogPosition] | None = None  # an answer that waits for changes: sequence, position
     closed: bool = False
 
@@ -195,18 +192,11 @@
         self._readers: dict[int, _Reader] = {}
         self._unknown: dict[int, int] = {}  # readers without a Hello, in order: until when they may be
         self._gateways: dict[str, _Reader] = {}
-        self._serving: Counter[int] = Counter()  # readers by version
-        self._behind: dict[str, None] = {}  # gateways under an older version than the active one
-        self._barrier = 0  # the last that was started
-        self._failed_in_row = 0
-        self._barrier_at: int | None = None  # when it was; it is under way as long as `_asking` is not None
-        self._asking: dict[int, int] | None = None  # its heartbeats: by reader the newest sequence
-        self._waiting: dict[int, int] = {}  # heartbeats for the next one
-        self._snapshot: Snapshot | None = None  # the newest, while somebody needs one
-        self._snapshot_queue: deque[int] = deque()
-        self._snapshot_readers: dict[int, _Reader] = {}
-        self._snapshot_tokens = 0.0  # bytes that snapshots may take now; below 0: owed by the last part
-        self._tokens_at: int | None = None
+        self._serving = ServingCounts()
+        self._barriers = ReadBarriers(limits.barrier_interval_us, limits.barrier_timeout_us)
+        self._snapshots = SnapshotQueue(
+            limits.snapshots_at_once, limits.snapshot_bytes_s, limits.snapshot_within_us
+        )
         self._sweep_at = 0
         self._answer = Frame(heartbeat_answer=HeartbeatAnswer())  # one message for all answers
 
@@ -246,7 +236,7 @@
         if waiting_bytes > self.limits.most_queued_bytes:
             return self._too_slow(known)
         actions: list[ReplicaAction] = []
-        if known.phase is Phase.SNAPSHOT:
+        if known.phase in (Phase.QUEUED, Phase.SNAPSHOT):
             self._pump_snapshots(now, actions)
         return actions
 
@@ -276,11 +266,10 @@
             if state.position.number <= mine.position.number:
                 return []  # nothing was missed
         else:
-            self._waiting.clear()  # of another history: nothing that was asked in it counts
-            self._asking = None
+            self._barriers.forget_all()  # what was asked in another history counts for nothing
             self._confirmed = False
         self._state = state
-        self._count_behind()
+        self._serving.activated(state.active)
         return self._begin_log(now)
 
     def committed(self, number: int, delta: Delta, now: int) -> list[ReplicaAction]:
@@ -294,7 +283,7 @@
         delta = state.narrowed(delta)
         state.apply(delta)
         if delta.WhichOneof("change") == "activated":
-            self._count_behind()
+            self._serving.activated(state.active)
         encoded = encode(Frame(delta=delta))
         if len(encoded) > self.limits.most_delta_bytes:
             return self._begin_log(now)
@@ -311,13 +300,13 @@
 
     def barrier_confirmed(self, barrier: int, position: LogPosition, now: int) -> list[ReplicaAction]:
         """A barrier was applied here: all that was committed before its start is included in `position`."""
-        if self._asking is None or barrier != self._barrier:
+        heartbeats = self._barriers.confirmed(barrier)
+        if heartbeats is None:
             return []
         self.counts.barriers_confirmed += 1
-        asking, self._asking = self._asking, None
         if not position.history:  # the group has not begun its history: there is nothing to pass on
             return []
-        self._failed_in_row = 0
+        self._barriers.failed_in_row = 0
         state = self._state
         if state is None or state.position.history != position.history:
             return self._reload(now)
@@ -325,20 +314,17 @@
         if state.position.number < position.number:
             actions += self._reload(now)
         self._confirmed = True
-        self._answer_all(asking, position, actions)
+        self._answer_all(heartbeats, position, actions)
         self._start_barrier(now, actions)
         return actions
 
     def barrier_failed(self, barrier: int, now: int) -> list[ReplicaAction]:
         """A barrier will not be answered. Its heartbeats are confirmed by a later one, or never."""
-        if self._asking is None or barrier != self._barrier:
+        if not self._barriers.failed(barrier):
             return []
         self.counts.barriers_failed += 1
-        self._failed_in_row += 1
-        if self._failed_in_row >= self.limits.most_failed_barriers:
+        if self._barriers.failed_in_row >= self.limits.most_failed_barriers:
             self._confirmed = False
-        self._waiting = self._asking | self._waiting
-        self._asking = None
         actions: list[ReplicaAction] = []
         self._start_barrier(now, actions)
         return actions
@@ -349,8 +335,8 @@
         """What is due now."""
         actions: list[ReplicaAction] = []
         self._cut_unknown(now, actions)
-        if self._asking is not None and now >= self._barrier_due():
-            actions += self.barrier_failed(self._barrier, now)
+        if self._barriers.overdue(now):
+            actions += self.barrier_failed(self._barriers.number, now)
         self._start_barrier(now, actions)
         self._pump_snapshots(now, actions)
         if now >= self._sweep_at:
@@ -363,22 +349,25 @@
         times = [self._sweep_at]
         if self._unknown:
             times.append(next(iter(self._unknown.values())))
-        if self._asking is not None:
-            times.append(self._barrier_due())
-        elif self._waiting or not self._confirmed:
-            times.append(self._barrier_allowed_at())
-        if self._snapshot_readers and self._tokens_at is not None and self._snapshot_tokens <= 0:
-            wait_us = -self._snapshot_tokens * 1e6 / self.limits.snapshot_bytes_s
-            times.append(self._tokens_at + int(wait_us) + 1)
+        others = (self._barriers.next_at(wanted=not self._confirmed), self._snapshots.next_at())
+        times += [at for at in others if at is not None]
         return min(times)
 
     # --- what operators see
 
+    @property
+    def ready(self) -> bool:
+        """Whether gateways are taken: the quorum confirmed the state, and barriers have not failed since."""
+        return self._state is not None and self._confirmed
+
+    @property
+    def position(self) -> LogPosition:
+        """The last change that is known here."""
+        return self._state.position if self._state is not None else LogPosition()
+
     def serving_report(self) -> ServingReport:
         """Counts by serving version, the most first, and names of those behind; both bounded."""
-        by_version = tuple(sorted(self._serving.most_common(MOST_REPORTED)))
-        behind = tuple(islice(self._behind, MOST_REPORTED))
-        return ServingReport(len(self._gateways), by_version, behind)
+        return self._serving.report(len(self._gateways))
 
     def report(self, now: int) -> ReplicaReport:
         """The whole state with one entry for each reader."""
@@ -392,11 +381,11 @@
         )  # fmt: skip
         return ReplicaReport(
             self.name,
-            self._ready(),
-            state.position if state is not None else LogPosition(),
+            self.ready,
+            self.position,
             state.active if state is not None else 0,
             self.serving_report(),
-            len(self._snapshot_queue),
+            len(self._snapshots.waiting()),
             self._log.retained_bytes,
             self.counts,
             readers,
@@ -404,16 +393,13 @@
 
     # --- connections, within
 
-    def _ready(self) -> bool:
-        return self._state is not None and self._confirmed
-
     def _hello(self, known: _Reader, hello: Hello, now: int) -> list[ReplicaAction]:
         names = (hello.gateway, hello.life)
         if hello.protocol != PROTOCOL:
             return self._reject(known.reader, PROTOCOL_VERSION, f"protocol {hello.protocol}, not {PROTOCOL}")
         if not all(0 < len(name) <= MOST_NAME for name in names) or len(hello.resume.history) > MOST_NAME:
             return self._reject(known.reader, BAD_FRAME, f"a name is empty or over {MOST_NAME} characters")
-        if not self._ready():
+        if not self.ready:
             return self._reject(known.reader, NOT_READY, "this replica has no confirmed state yet")
         assert self._state is not None
         position, resume = self._state.position, position_from(hello.resume)
@@ -439,7 +425,8 @@
         welcome = Welcome(replica=self.name, history=history, resumed=resumed)
         self._write(known, encode(Frame(welcome=welcome)), actions)
         if missing is None or not resumed:
-            self._queue_snapshot(known, now)
+            known.phase = Phase.QUEUED
+            self._snapshots.add(known.reader)
             self._pump_snapshots(now, actions)
             return
         self.counts.resumed += 1
@@ -455,8 +442,9 @@
         known.sequence, known.heard_at = sequence, now
         known.number, known.failed = heartbeat.position.number, heartbeat.failed
         if heartbeat.serving != known.serving:
-            self._count_serving(known, heartbeat.serving)
-        self._waiting[known.reader] = sequence
+            known.serving = heartbeat.serving
+            self._serving.serves(known.gateway, known.serving)
+        self._barriers.add(known.reader, sequence)
         return []
 
     def _write(self, known: _Reader, data: bytes, actions: list[ReplicaAction]) -> None:
@@ -484,15 +472,11 @@
         reader, known.closed = known.reader, True
         del self._readers[reader]
         self._unknown.pop(reader, None)
-        self._waiting.pop(reader, None)
-        if self._asking is not None:
-            self._asking.pop(reader, None)
-        self._leave_snapshots(known)
+        self._barriers.forget(reader)
+        self._snapshots.remove(reader)
         if self._gateways.get(known.gateway) is known:
             del self._gateways[known.gateway]
-            self._behind.pop(known.gateway, None)
-        if known.serving >= 0:
-            self._uncount(known.serving)
+            self._serving.forget(known.gateway)
 
     def _cut_unknown(self, now: int, actions: list[ReplicaAction]) -> None:
         while self._unknown:
@@ -509,10 +493,10 @@
             if silent_us >= limits.silence_us:
                 silent = f"nothing came for {silent_us // 1000} ms"
                 actions += self._reject(known.reader, READER_TOO_SLOW, silent)
-            elif known.phase is Phase.SNAPSHOT and now >= known.snapshot_due:
-                slow = f"its snapshot was not taken in {limits.snapshot_within_us // 1000} ms"
-                actions += self._reject(known.reader, READER_TOO_SLOW, slow)
-        for ahead, reader in enumerate(list(self._snapshot_queue)):
+        for reader in self._snapshots.overdue(now):
+            slow = f"its snapshot was not taken in {limits.snapshot_within_us // 1000} ms"
+            actions += self._reject(reader, READER_TOO_SLOW, slow)
+        for ahead, reader in enumerate(self._snapshots.waiting()):
             self._tell_queued(self._readers[reader], ahead, actions)
         self._pump_snapshots(now, actions)
 
@@ -520,29 +504,6 @@
         queued = SnapshotQueued(ahead=ahead)
         self._write(known, encode(Frame(snapshot_queued=queued)), actions)
 
-    # --- who serves under what
-
-    def _count_serving(self, known: _Reader, serving: int) -> None:
-        if known.serving >= 0:
-            self._uncount(known.serving)
-        known.serving = serving
-        self._serving[serving] += 1
-        if self._state is not None and serving < self._state.active:
-            self._behind[known.gateway] = None
-        else:
-            self._behind.pop(known.gateway, None)
-
-    def _uncount(self, serving: int) -> None:
-        self._serving[serving] -= 1
-        if not self._serving[serving]:
-            del self._serving[serving]
-
-    def _count_behind(self) -> None:
-        """The active version has changed: look at all once."""
-        active = self._state.active if self._state is not None else 0
-        behind = (known.gateway for known in self._gateways.values() if 0 <= known.serving < active)
-        self._behind = dict.fromkeys(behind)
-
     # --- the state, within
 
     def _reload(self, now: int) -> list[ReplicaAction]:
@@ -559,45 +520,32 @@
         assert self._state is not None
         limits = self.limits
         self._log = DeltaLog(self._state.position, limits.most_log_entries, limits.most_log_bytes)
-        self._snapshot = None
         actions: list[ReplicaAction] = []
         for known in list(self._gateways.values()):
             if known.phase is not Phase.QUEUED:
-                self._leave_snapshots(known)
-                self._queue_snapshot(known, now)
-                self._tell_queued(known, len(self._snapshot_queue) - 1, actions)
+                self._snapshots.remove(known.reader)
+                known.phase = Phase.QUEUED
+                self._tell_queued(known, self._snapshots.add(known.reader), actions)
         self._pump_snapshots(now, actions)
         return actions
 
     # --- barriers, within
 
-    def _barrier_due(self) -> int:
-        assert self._barrier_at is not None
-        return self._barrier_at + self.limits.barrier_timeout_us
-
-    def _barrier_allowed_at(self) -> int:
-        return 0 if self._barrier_at is None else self._barrier_at + self.limits.barrier_interval_us
-
     def _start_barrier(self, now: int, actions: list[ReplicaAction]) -> None:
-        if self._asking is not None or now < self._barrier_allowed_at():
-            return
-        if not self._waiting and self._confirmed:
-            return
-        self._barrier += 1
-        self._barrier_at = now
-        self._asking, self._waiting = self._waiting, {}
-        self.counts.barriers_started += 1
-        actions.append(StartBarrier(self._barrier, self.serving_report()))
+        barrier = self._barriers.start(now, wanted=not self._confirmed)
+        if barrier is not None:
+            self.counts.barriers_started += 1
+            actions.append(StartBarrier(barrier, self.serving_report()))
 
     def _answer_all(
-        self, asking: dict[int, int], position: LogPosition, actions: list[ReplicaAction]
+        self, heartbeats: dict[int, int], position: LogPosition, actions: list[ReplicaAction]
     ) -> None:
         """Answer those that have all changes up to the position; the others as soon as they have."""
         assert self._state is not None
         answer = self._answer.heartbeat_answer
         answer.position.history, answer.position.number = position.history, position.number
         complete = self._state.position.number >= position.number
-        for reader, sequence in asking.items():
+        for reader, sequence in heartbeats.items():
             known = self._readers[reader]
             known.owed = None
             if complete and known.phase is Phase.LIVE:
@@ -625,79 +573,37 @@
 
     # --- snapshots
 
-    def _queue_snapshot(self, known: _Reader, now: int) -> None:
-        known.phase = Phase.QUEUED
-        self._snapshot_queue.append(known.reader)
-
-    def _leave_snapshots(self, known: _Reader) -> None:
-        if known.phase is Phase.QUEUED:
-            self._snapshot_queue.remove(known.reader)
-        elif known.phase is Phase.SNAPSHOT:
-            del self._snapshot_readers[known.reader]
-            known.snapshot = None
-        if not self._snapshot_queue and not self._snapshot_readers:
-            self._snapshot = None  # nobody needs it
-
     def _pump_snapshots(self, now: int, actions: list[ReplicaAction]) -> None:
-        """Write parts in turn, as far as the bytes a second and each reader's window allow."""
-        if not self._snapshot_queue and not self._snapshot_readers:
-            return
-        self._refill(now)
-        wrote = True
-        while wrote and self._snapshot_tokens > 0:
-            wrote = False
-            self._begin_snapshots(now)
-            for known in list(self._snapshot_readers.values()):
-                if self._snapshot_tokens > 0 and known.queued < self.limits.snapshot_window_bytes:
-                    self._write_part(known, now, actions)
-                    wrote = True
-
-    def _refill(self, now: int) -> None:
-        rate, last = self.limits.snapshot_bytes_s, self._tokens_at
-        most = rate / 10  # what may come at once: a tenth of a second's
-        earned = most if last is None else (now - last) * rate / 1e6
-        self._snapshot_tokens = min(most, self._snapshot_tokens + earned)
-        self._tokens_at = now
-
-    def _begin_snapshots(self, now: int) -> None:
+        """Write all parts that may go out now."""
+        while (part := self._snapshots.next_part(now, self._takes_more, self._make_snapshot)) is not None:
+            known = self._readers[part.reader]
+            if known.phase is Phase.QUEUED:
+                known.phase = Phase.SNAPSHOT
+                self.counts.snapshots += 1
+            self._write(known, part.data, actions)
+            if part.last and not known.closed:
+                self._finish_snapshot(known, part.position, actions)
+
+    def _takes_more(self, reader: int) -> bool:
+        return self._readers[reader].queued < self.limits.snapshot_window_bytes
+
+    def _make_snapshot(self, present: Snapshot | None) -> Snapshot:
+        """The present one as long as few retained changes lead on from it, else a new one."""
         assert self._state is not None
-        while self._snapshot_queue and len(self._snapshot_readers) < self.limits.snapshots_at_once:
-            known = self._readers[self._snapshot_queue.popleft()]
-            known.phase, known.next_part = Phase.SNAPSHOT, 0
-            known.snapshot = self._present_snapshot()
-            known.snapshot_due = now + self.limits.snapshot_within_us
-            self._snapshot_readers[known.reader] = known
-            self.counts.snapshots += 1
-
-    def _present_snapshot(self) -> Snapshot:
-        """The last one as long as few retained changes lead on from it, else a new one."""
-        assert self._state is not None
-        if self._snapshot is not None:
-            missing = self._log.after(self._snapshot.position)
+        if present is not None:
+            missing = self._log.after(present.position)
             if missing is not None and sum(map(len, missing)) <= self.limits.snapshot_window_bytes:
-                return self._snapshot
-        self._snapshot = Snapshot(self._state)
-        return self._snapshot
-
-    def _write_part(self, known: _Reader, now: int, actions: list[ReplicaAction]) -> None:
-        snapshot = known.snapshot
-        assert snapshot is not None
-        data = snapshot.frame(known.next_part)
-        known.next_part += 1
-        self._snapshot_tokens -= len(data)
-        self._write(known, data, actions)
-        if known.next_part == snapshot.parts and not known.closed:
-            self._finish_snapshot(known, snapshot, now, actions)
-
-    def _finish_snapshot(
-        self, known: _Reader, snapshot: Snapshot, now: int, actions: list[ReplicaAction]
-    ) -> None:
-        missing = self._log.after(snapshot.position)
-        self._leave_snapshots(known)
-        if missing is None:  # the changes since then were compacted away meanwhile
-            self._queue_snapshot(known, now)
+                return present
+        return Snapshot(self._state)
+
+    def _finish_snapshot(self, known: _Reader, position: LogPosition, actions: list[ReplicaAction]) -> None:
+        missing = self._log.after(position)
+        if missing is None:  # the changes since then were compacted away meanwhile: once more
+            known.phase = Phase.QUEUED
+            self._snapshots.add(known.reader)
             return
         known.phase = Phase.LIVE
+        self._snapshots.remove(known.reader)
         for encoded in missing:
             self._write(known, encoded, actions)
         self._settle(known, actions)
--- a/tests/test_control_plane_machine.py
+++ b/tests/test_control_plane_machine.py
@@ -174,7 +174,7 @@
         if frame.WhichOneof("body") == "heartbeat" and known is not None and self._state is not None:
             if known.phase.value != "live":
                 return actions
-            self._waiting.pop(reader, None)
+            self._barriers.forget(reader)
             here = self._state.position
             position = Position(history=here.history, number=here.number)
             answer = HeartbeatAnswer(sequence=frame.heartbeat.sequence, position=position)
