--- a/stackrouter/coord/raft.py
+++ b/stackrouter/coord/raft.py
@@ -120,14 +120,16 @@
     def __init__(self, node: TCPNode, others: Sequence[TCPNode], conf: SyncObjConf,
                  applied: Callable[[list[Event]], None]) -> None:  # fmt: skip
         self._applied = applied  # set before the library notes which attributes are not replicated
+        self._told: Ledger | None = None  # whose changes were told from the beginning on
         super().__init__(node, others, conf, transportClass=_Transport)
-        self.ledger = Ledger()  # ... and this after: it goes into snapshots
+        self.ledger = self._told = Ledger()  # ... and this after: it goes into snapshots
         # A member that starts listens for a leader first: standing for election before it has been reached by
         # the one there is would depose that one, for the library asks for no vote beforehand.
         self._SyncObj__raftElectionDeadline += conf.raftMaxTimeout
 
     @replicated  # type: ignore[misc]
     def commit(self, command: Command) -> _Applied:
+        self.tell_replaced()
         why, events = self.ledger.apply(command)
         if events:
             self._applied(events)
@@ -136,6 +138,17 @@
         duty = getattr(command, "duty", "")
         return _Applied(why, self.ledger.lease(duty) if duty else None)
 
+    def tell_replaced(self) -> None:
+        """Tell all that is known, if a snapshot came in the place of its commands: before any command that
+        is applied after it."""
+        if self.ledger is self._told:
+            return
+        ledger = self._told = self.ledger
+        self._applied([LeaseSeen(lease) for lease in ledger.leases.values()])
+        self._applied([PolicySeen(version) for version in ledger.policies])
+        self._applied([ActiveSeen(ledger.active)])
+        self._applied([StateReplaced(ledger.state())])
+
 
 class Raft:
     """The port on PySyncObj. `folder`: for the journal, which has to outlive the process: a member that
@@ -239,14 +252,8 @@
                 continue
             assert self._group is not None
             try:
-                loaded = self._group.ledger
                 self._group.doTick(self._tick_s)
-                if self._group.ledger is not loaded:  # a snapshot came in the place of its commands
-                    ledger = self._group.ledger
-                    self._hear([LeaseSeen(lease) for lease in ledger.leases.values()])
-                    self._hear([PolicySeen(version) for version in ledger.policies])
-                    self._hear([ActiveSeen(ledger.active)])
-                    self._state_wanted.set()
+                self._group.tell_replaced()
                 if self._state_wanted.is_set():
                     self._state_wanted.clear()
                     self._hear([StateReplaced(self._group.ledger.state())])
