Keep the control plane's process tests from stalling their own links

Seen: once in nine runs, beside other work on the machine, a replica was not ready in the middle of a test. Cause: the links between the voters are served by the test's own process, and a command that it waited for (one to two seconds) stalled them, so that the group lost its leader. The command runs beside now, a connection by hand is tried until the replica is ready, and the wait before the second heartbeat is on failed barriers in place of a time.

--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -31,7 +31,7 @@
 WAIT_S = 20.0
 STOP_S = 5.0
 CALL_S = 2.0
-READ_S = 0.7
+READ_S = 0.3
 
 
 class ControlGroup:
@@ -144,6 +144,15 @@
         """`control status` of a replica or a gateway."""
         return self.json(name, "control status")
 
+    def command(self, part: str, what: str, name: str) -> str:
+        """What a command of the CLI prints of this process. It runs beside: the links are in this process."""
+        door = f"127.0.0.1:{self.admins[name]}"
+        line = [sys.executable, "-m", "stackrouter.cli.main", part, what, "--door", door]
+        with subprocess.Popen(line, stdout=subprocess.PIPE, text=True) as program:
+            self.wait_for(lambda: program.poll() is not None, "the command does not end")
+            assert program.stdout is not None
+            return program.stdout.read()
+
     def leader(self) -> str:
         """Who leads, by those who know; empty: nobody says."""
         told = [self.control(name) for name in self.voters if self.programs[name].poll() is None]
@@ -196,6 +205,19 @@
         self._variants += 1
         return self._variants
 
+    def by_hand(self, replica: str) -> RawConnection:
+        """A connection by hand that has its snapshot. A replica that is not ready yet is asked again."""
+        until = time.monotonic() + WAIT_S
+        while time.monotonic() < until:
+            raw = RawConnection(self.listens[replica])
+            raw.hello("by hand")
+            raw.read(is_live, CALL_S)
+            if any(is_live(frame) for frame in raw.frames):
+                return raw
+            raw.close()
+            gevent.sleep(0.05)
+        raise AssertionError(f"{replica} takes no connection within {WAIT_S:g} s")
+
     # Their files.
 
     def _replica_list(self, names: list[str]) -> str:
@@ -241,6 +263,12 @@
         }  # fmt: skip
 
 
+def is_live(frame: Frame) -> bool:
+    """The last part of a snapshot: from here on changes follow."""
+    part = frame.snapshot_part
+    return bool(frame.HasField("snapshot_part") and part.part + 1 == part.parts)
+
+
 class RawConnection:
     """Bytes to and frames from a replica, by hand."""
 
--- a/tests/test_control_plane_processes.py
+++ b/tests/test_control_plane_processes.py
@@ -7,8 +7,6 @@
 import unittest
 from pathlib import Path
 
-import gevent
-
 from stackrouter.controlplane.codec import MOST_TO_REPLICA, encode
 from stackrouter.controlplane.frames_pb2 import (
     BAD_FRAME,
@@ -20,7 +18,6 @@
 )
 from stackrouter.errors import FrameTooLargeError, FrameUnreadableError, NotReadyError
 from tests.control_group import AFTER_MS, READ_S, VALID_S, ControlGroup, RawConnection
-from tests.test_cli import run as command
 
 IN_FORCE_S = AFTER_MS / 1000 + 4.0  # the delay, and a leader's election within it
 
@@ -29,12 +26,6 @@
     return bool(frame.HasField("heartbeat_answer"))
 
 
-def is_live(frame: Frame) -> bool:
-    """The last part of a snapshot: from here on changes follow."""
-    part = frame.snapshot_part
-    return bool(frame.HasField("snapshot_part") and part.part + 1 == part.parts)
-
-
 class ControlPlaneProcesses(unittest.TestCase):
     """One group for all: each test leaves it whole."""
 
@@ -58,6 +49,12 @@
 
         group.wait_for(in_force, f"version {version} is not in force", IN_FORCE_S)
 
+    def await_failed_barriers(self, voter: str, more: int) -> None:
+        before = self.group.control(voter)["barriers_failed"]
+        self.group.wait_for(
+            lambda: self.group.control(voter)["barriers_failed"] >= before + more, "barriers do not fail"
+        )
+
     def test_a_policy_and_a_change_of_the_list_take_hold_everywhere(self) -> None:
         group = self.group
         version = group.propose("c1")
@@ -83,8 +80,8 @@
             "the change of the list has not come",
         )
         self.assertLessEqual(group.discovery.calls - calls, 2 * len(group.voters))  # no gateway asked
-        shown = command("control", "status", "--door", f"127.0.0.1:{group.admins['c1']}")
-        self.assertIn("replica c1 (voter), ready", shown.stdout)
+        self.assertIn("replica c1 (voter), ready", group.command("control", "status", "c1"))
+        self.assertIn("gateway g1, replica ", group.command("control", "status", "g1"))
 
     def test_a_version_is_activated_though_the_leader_is_killed_after_its_commit(self) -> None:
         group = self.group
@@ -103,15 +100,14 @@
         group = self.group
         cut = self.replica_of("g1")
         voter = cut if cut in group.voters else "c1"
-        raw = RawConnection(group.listens[voter])
-        raw.hello("by hand")
-        self.assertTrue(raw.read(is_live, 2.0))
+        raw = group.by_hand(voter)
         raw.heartbeat(1)
         self.assertTrue(raw.read(is_answer, 2.0))
         group.cut_off(voter, True)
         try:
-            gevent.sleep(2 * READ_S)  # what was confirmed before the cut has been answered by now
+            self.await_failed_barriers(voter, 1)  # so none from before the cut is under way
             raw.heartbeat(2)
+            self.await_failed_barriers(voter, 2)
             raw.read(is_answer, READ_S)
             self.assertEqual([f.heartbeat_answer.sequence for f in raw.frames if is_answer(f)], [1])
             group.wait_for(
@@ -187,9 +183,7 @@
 
     def test_a_replica_that_is_stopped_says_so_and_exits_with_0(self) -> None:
         group = self.group
-        raw = RawConnection(group.listens["c3"])
-        raw.hello("by hand")
-        self.assertTrue(raw.read(is_live, 2.0))
+        raw = group.by_hand("c3")
         began = time.monotonic()
         group.programs["c3"].terminate()
         self.assertTrue(raw.read(lambda frame: frame.WhichOneof("body") == "reject", 2.0))
