--- a/stackrouter/controlplane/codec.py
+++ b/stackrouter/controlplane/codec.py
@@ -12,7 +12,7 @@
 from stackrouter.errors import FrameEmptyError, FrameTooLargeError, FrameUnreadableError
 
 PREFIX_BYTES = 4
-MOST_TO_REPLICA = 4 * 1024  # bytes of a Hello or a Heartbeat
+MOST_TO_REPLICA = 16 * 1024  # bytes of a Hello or a Heartbeat, of a replica that observes with 16 names
 MOST_TO_GATEWAY = 8 * 1024 * 1024  # a change that names all of 20,000 nodes, or a policy of 256 KiB
 
 
--- a/stackrouter/controlplane/conversion.py
+++ b/stackrouter/controlplane/conversion.py
@@ -4,9 +4,17 @@
 
 from typing import Any
 
-from stackrouter.controlplane.frames_pb2 import Delta, Node, NodeChanges, PolicyVersion, Position
+from stackrouter.controlplane.frames_pb2 import (
+    Delta,
+    Node,
+    NodeChanges,
+    PolicyVersion,
+    Position,
+    ServingSummary,
+)
+from stackrouter.coord.ledger import MOST_REPORTED
 from stackrouter.coord.policy import Version
-from stackrouter.coord.port import ActiveSeen, ListingSeen, LogPosition, PolicySeen
+from stackrouter.coord.port import ActiveSeen, ListingSeen, LogPosition, PolicySeen, ServingReport
 
 REMOVED = "removed"
 Change = PolicySeen | ActiveSeen | ListingSeen
@@ -22,6 +30,18 @@
     return LogPosition(message.history, message.number)
 
 
+def summary_message(report: ServingReport) -> ServingSummary:
+    """What gateways serve under as a message."""
+    counts = [ServingSummary.VersionCount(version=v, gateways=count) for v, count in report.by_version]
+    return ServingSummary(gateways=report.gateways, by_version=counts, behind=report.behind)
+
+
+def report_from(message: ServingSummary) -> ServingReport:
+    """What gateways serve under out of a message, as far as a report may go."""
+    by_version = tuple((count.version, count.gateways) for count in message.by_version[:MOST_REPORTED])
+    return ServingReport(message.gateways, by_version, tuple(message.behind[:MOST_REPORTED]))
+
+
 def policy_message(version: Version) -> PolicyVersion:
     """A version of the policy as a message."""
     return PolicyVersion(
--- a/stackrouter/controlplane/observer.py
+++ b/stackrouter/controlplane/observer.py
@@ -18,7 +18,7 @@
 from enum import Enum
 from random import Random
 
-from stackrouter.controlplane.conversion import position_from, position_message, version_from
+from stackrouter.controlplane.conversion import position_from, position_message, summary_message, version_from
 from stackrouter.controlplane.frames_pb2 import (
     Delta,
     Frame,
@@ -42,7 +42,7 @@
     SnapshotAssembler,
 )
 from stackrouter.coord.policy import PolicyStateMachine, Version
-from stackrouter.coord.port import LogPosition
+from stackrouter.coord.port import LogPosition, ServingReport
 from stackrouter.errors import (
     ControlError,
     FrameUnexpectedError,
@@ -225,6 +225,7 @@
         self.link = Link.WAITING
         self.replica: ReplicaAddress | None = None  # the one that is connected to, or being tried
         self._relay = relay  # a replica that observes: it takes nothing itself
+        self.relayed = ServingReport()  # of a relay: what its own gateways serve under, told with heartbeats
         self._backoff = Backoff(self.times.backoff_base, self.times.backoff_most, rng)
         self._next_replica = 0  # in the order
         self._not_before = dict[str, int]()  # by replica: when it may be tried again, as it said itself
@@ -293,6 +294,8 @@
             failed=self.policy.failed,
             position=position_message(self.position),
         )
+        if self._relay:
+            heartbeat.relayed.CopyFrom(summary_message(self.relayed))
         return self._sequence, [SendFrame(Frame(heartbeat=heartbeat))]
 
     # --- time
--- a/stackrouter/controlplane/replica.py
+++ b/stackrouter/controlplane/replica.py
@@ -15,7 +15,7 @@
 
 from stackrouter.controlplane.barriers import ReadBarriers
 from stackrouter.controlplane.codec import encode
-from stackrouter.controlplane.conversion import position_from
+from stackrouter.controlplane.conversion import position_from, report_from
 from stackrouter.controlplane.delta_log import DeltaLog
 from stackrouter.controlplane.frames_pb2 import (
     BAD_FRAME,
@@ -441,7 +441,9 @@
         self.counts.heartbeats += 1
         known.sequence, known.heard_at = sequence, now
         known.number, known.failed = heartbeat.position.number, heartbeat.failed
-        if heartbeat.serving != known.serving:
+        if heartbeat.HasField("relayed"):
+            self._serving.relays(known.gateway, report_from(heartbeat.relayed))
+        elif heartbeat.serving != known.serving:
             known.serving = heartbeat.serving
             self._serving.serves(known.gateway, known.serving)
         self._barriers.add(known.reader, sequence)
--- a/stackrouter/controlplane/source.py
+++ b/stackrouter/controlplane/source.py
@@ -130,6 +130,7 @@
 
     def start_barrier(self, barrier: int, report: ServingReport) -> None:
         assert self.client is not None and self.server is not None
+        self.client.observer.relayed = report
         sequence = self.client.heartbeat()
         if sequence:
             self._asked.append(_Asked(barrier, sequence))
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -29,6 +29,7 @@
     PolicyVersion,
     Position,
     Reject,
+    ServingSummary,
     SnapshotChunk,
     SnapshotPart,
     SnapshotQueued,
@@ -734,6 +735,25 @@
         readers = replica.machine.report(replica.now).readers
         self.assertEqual(Counter(reader.serving for reader in readers), Counter({3: 28, 1: 1}))
 
+    def test_a_replica_that_observes_tells_upwards_what_its_gateways_serve(self) -> None:
+        whole = state(3)
+        whole.policies, whole.active = [Version(n, "d", "{}", 5) for n in (1, 2)], 2
+        replica, relay = Replica(whole), Gateway(relay=True)
+        replica.hello(1)
+        replica.heartbeat(1, 1, 2)
+        relay.connect()
+        relay.observer.relayed = ServingReport(70, ((1, 1), (2, 69)), ("far",))
+        relay.beat()
+        replica.hello(2)
+        replica.receive(2, relay.sent[-1])
+        report = replica.machine.serving_report()
+        self.assertEqual(report, ServingReport(71, ((1, 1), (2, 70)), ("far",)))
+        summary = ServingSummary(gateways=5, behind=["g"] * 50)
+        replica.receive(2, Frame(heartbeat=Heartbeat(sequence=99, relayed=summary)))
+        self.assertEqual(len(replica.machine.serving_report().behind), MOST_REPORTED)
+        replica.do(replica.machine.disconnected(2, replica.now))
+        self.assertEqual(replica.machine.serving_report(), ServingReport(1, ((2, 1),), ()))
+
     def test_a_herd_of_a_thousand_is_bounded_and_settles(self) -> None:
         limits = ReplicaLimits(
             most_gateways=1000, most_unknown=1000, snapshots_at_once=8, snapshot_bytes_s=1 << 20,
