--- a/stackrouter/controlplane/process.py
+++ b/stackrouter/controlplane/process.py
@@ -60,6 +60,7 @@
 LEAVE_S = 1.0  # after SIGTERM: for connections to read why they end
 LEAVE_STEP_S = 0.02
 HISTORY_EVERY_S = 0.5
+MOST_UNKNOWN = 512  # a replica's gateways that come back within a second, from regions 100 ms away and more
 GC_THRESHOLD = 10_000  # objects between collections: few are left in cycles, and looking costs
 
 
@@ -67,6 +68,7 @@
     """The state machine's limits, out of the operator's file."""
     return ReplicaLimits(
         most_gateways=configured.gateways,
+        most_unknown=MOST_UNKNOWN,
         most_queued_bytes=configured.queued_kb * 1024,
         snapshots_at_once=configured.snapshots,
         snapshot_bytes_s=configured.snapshot_kb_s * 1024,
--- a/stackrouter/controlplane/server.py
+++ b/stackrouter/controlplane/server.py
@@ -38,7 +38,6 @@
 BACKLOG = 1024
 ACCEPTS_A_TURN = 64
 ACCEPT_PAUSE_S = 0.05  # after the system refused one more connection
-SPARE_CONNECTIONS = 128  # beyond the gateways that are served: those that have not said Hello
 MOST_LINGERING = 128  # that were ended and may still read why
 FLUSHES_A_TURN = 8  # rounds of sending before others are heard again
 
@@ -70,7 +69,6 @@
                  reload_state: Callable[[], None]) -> None:  # fmt: skip
         self.machine, self.counters, self._clock = machine, counters, clock
         self._start_barrier, self._reload_state = start_barrier, reload_state
-        self._most_connections = machine.limits.most_gateways + SPARE_CONNECTIONS
         self._loop: Any = gevent.get_hub().loop
         listening = listen_at(address, BACKLOG)
         self._listening = socket.socket(fileno=listening.detach())
@@ -130,11 +128,7 @@
                     self._accepting.stop()
                     self._accept_again.start(self._accepting.start, self._accept)
                 return
-            if len(self._readers) >= self._most_connections:
-                self.counters.add("control.turned_away")
-                sock.close()
-            else:
-                self._take(sock, "{}:{}".format(*peer))
+            self._take(sock, "{}:{}".format(*peer))
 
     def _take(self, sock: socket.socket, peer: str) -> None:
         self._last_reader += 1
