--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,7 @@
 import errno
 import json
 import os
+import re
 import socket
 import subprocess
 import sys
@@ -116,6 +117,24 @@
     assert "\n" not in str(caught.value)
 
 
+def test_the_files_that_the_operators_page_shows_can_be_used() -> None:
+    page = (ROOT / "docs" / "operators" / "coordination.md").read_text()
+    blocks = [
+        b
+        for b in re.findall(r"(?:(?:    .*)?\n)+", page)
+        if re.search(r"^    (control|coordination) \{", b, re.M)
+    ]
+    shown = [parse(block, "the page") for block in blocks]
+    kinds = [(edge.coordination.enabled, edge.control.enabled, bool(edge.control.listen)) for edge in shown]
+    member, voter, observing, gateway = (
+        (True, False, False),
+        (True, False, True),
+        (False, False, True),
+        (False, True, False),
+    )
+    assert kinds == [member, voter, observing, gateway]
+
+
 def test_the_shipped_file_can_be_used_and_check_says_so() -> None:
     assert load_apart(ROOT / "deploy" / "edge.txtpb").accounts.enabled
     done = run("check", "deploy/edge.txtpb", "--json")
