Tell what gateways serve under also when the last of them has left a replica

Seen while counting gateways by version over all replicas: a replica that its gateways had left told their counts on without end. Cause: the report goes with read barriers, and those are started for heartbeats alone. A replica that is ready now starts one, once a second at most, where its report differs from the last one that was confirmed; with nothing new there is none (tested), so that log entries do not grow with idle replicas. The processes' test now holds the sum over the voters to exactly the two gateways, those of the replica that does not vote among them.

--- a/stackrouter/controlplane/process.py
+++ b/stackrouter/controlplane/process.py
@@ -129,7 +129,7 @@
         if call == "status":
             if self._terminated.is_set():
                 return f"FAILURE {StoppingError('stopping').coded()}"
-            if not self.machine.report(boottime_us()).ready:
+            if not self.machine.ready:
                 return f"FAILURE {NotReadyError('no state was confirmed by a majority yet').coded()}"
             return "SUCCESS serving"
         if call == "control status":
@@ -233,7 +233,7 @@
 
     def _begin_history(self) -> None:
         """A new group has none until its leader has set one."""
-        while not self.machine.report(boottime_us()).position.history:
+        while not self.machine.position.history:
             if self._member.term.leader == self.name:
                 self._source.begin_history()
             gevent.sleep(HISTORY_EVERY_S)
--- a/stackrouter/controlplane/replica.py
+++ b/stackrouter/controlplane/replica.py
@@ -197,6 +197,9 @@
         self._snapshots = SnapshotQueue(
             limits.snapshots_at_once, limits.snapshot_bytes_s, limits.snapshot_within_us
         )
+        self._telling: ServingReport | None = None  # with the barrier under way
+        self._told: ServingReport | None = None  # with the last one that was confirmed
+        self._report_due = False  # it differs, and no heartbeat may come that takes it along
         self._sweep_at = 0
         self._answer = Frame(heartbeat_answer=HeartbeatAnswer())  # one message for all answers
 
@@ -314,6 +317,7 @@
         if state.position.number < position.number:
             actions += self._reload(now)
         self._confirmed = True
+        self._told = self._telling
         self._answer_all(heartbeats, position, actions)
         self._start_barrier(now, actions)
         return actions
@@ -342,6 +346,7 @@
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_EVERY_US
             self._sweep(now, actions)
+            self._report_due = self.ready and self._told != self.serving_report()
         return actions
 
     def next_at(self) -> int:
@@ -349,7 +354,7 @@
         times = [self._sweep_at]
         if self._unknown:
             times.append(next(iter(self._unknown.values())))
-        others = (self._barriers.next_at(wanted=not self._confirmed), self._snapshots.next_at())
+        others = (self._barriers.next_at(self._barrier_wanted()), self._snapshots.next_at())
         times += [at for at in others if at is not None]
         return min(times)
 
@@ -533,11 +538,16 @@
 
     # --- barriers, within
 
+    def _barrier_wanted(self) -> bool:
+        """Whether a barrier is needed also without a heartbeat."""
+        return not self._confirmed or self._report_due
+
     def _start_barrier(self, now: int, actions: list[ReplicaAction]) -> None:
-        barrier = self._barriers.start(now, wanted=not self._confirmed)
+        barrier = self._barriers.start(now, self._barrier_wanted())
         if barrier is not None:
             self.counts.barriers_started += 1
-            actions.append(StartBarrier(barrier, self.serving_report()))
+            self._telling, self._report_due = self.serving_report(), False
+            actions.append(StartBarrier(barrier, self._telling))
 
     def _answer_all(
         self, heartbeats: dict[int, int], position: LogPosition, actions: list[ReplicaAction]
--- a/tests/test_control_plane_processes.py
+++ b/tests/test_control_plane_processes.py
@@ -65,14 +65,14 @@
         )
 
         def reported() -> dict[int, int]:
-            """Gateways (the replica that does not vote among them) by version, as the voters tell."""
+            """Gateways by version, as the voters tell, those of the replica that does not vote with them."""
             counts: dict[int, int] = {}
             for report in group.json("c2", "policy status")["replicas"].values():
                 for number, count in report["by_version"]:
                     counts[number] = counts.get(number, 0) + count
             return counts
 
-        group.wait_for(lambda: reported().get(version, 0) >= 1, "the replicas' reports do not tell")
+        group.wait_for(lambda: reported() == {version: 2}, "the replicas' reports do not tell")
         calls = group.discovery.calls
         group.discovery.change("s-4", status="draining")
         group.wait_for(
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -57,6 +57,7 @@
 
     def __init__(self, name: str, limits: ReplicaLimits = LIMITS, nodes: int = NODES) -> None:
         self.machine, self.silent = ReplicaStateMachine(name, limits), False
+        self.reports: list[ServingReport] = []  # that came with barriers
         self.server = ControlServer(self.machine, ("127.0.0.1", 0), boottime_us, Counters(),
                                     self.start_barrier, lambda: None)  # fmt: skip
         held = {f"n{i}": Node(name=f"n{i}", address="h:1", status="up") for i in range(nodes)}
@@ -66,6 +67,7 @@
         self.address = ReplicaAddress(name, "{}:{}".format(*self.server.address), "r")
 
     def start_barrier(self, barrier: int, report: ServingReport) -> None:
+        self.reports.append(report)
         if not self.silent:
             gevent.spawn(self.server.call, self.machine.barrier_confirmed, barrier, self.position)
 
@@ -155,6 +157,17 @@
         wait_for(told, "the failure was not told")
         self.assertFalse(client.policy.ready(client.clock()))
 
+    def test_a_replica_whose_last_gateway_has_left_tells_so_once_and_then_nothing(self) -> None:
+        replica = self.replica()
+        client, _ = self.observer("g", replica)
+        wait_for(client.heartbeat_valid, "no valid heartbeat")
+        client.stop()
+        wait_for(lambda: replica.reports[-1].gateways == 0, "its last report counts a gateway that has left")
+        barriers = len(replica.reports)
+        due = replica.machine.next_at()
+        wait_for(lambda: replica.machine.next_at() > due, "no sweep came")
+        self.assertEqual(len(replica.reports), barriers)
+
     def test_an_observer_leaves_a_replica_that_confirms_nothing_and_resumes_at_another(self) -> None:
         first, second = self.replica("a"), self.replica("b")
         client, sink = self.observer("g", first, second)
