Take the list's pieces out of the observer

What was received of the list and is handed on in pieces is PendingNodes, with its bounds; the observer's class has the connection, the stream and the heartbeats.

--- a/stackrouter/controlplane/codec.py
+++ b/stackrouter/controlplane/codec.py
@@ -9,7 +9,7 @@
 from google.protobuf.message import DecodeError
 
 from stackrouter.controlplane.frames_pb2 import Frame
-from stackrouter.errors import FrameEmptyError, FrameTooLargeError, FrameUnreadableError
+from stackrouter.errors import FrameEmptyError, FrameError, FrameTooLargeError, FrameUnreadableError
 
 PREFIX_BYTES = 4
 MOST_TO_REPLICA = 16 * 1024  # bytes of a Hello or a Heartbeat, of a replica that observes with 16 names
@@ -31,7 +31,7 @@
     def __init__(self, most_bytes: int) -> None:
         self._most_bytes = most_bytes  # of one serialized Frame
         self._unfinished = bytearray()
-        self._failed: FrameTooLargeError | FrameUnreadableError | FrameEmptyError | None = None
+        self._failed: FrameError | None = None
 
     def feed(self, data: bytes) -> list[Frame]:
         """The frames that these bytes complete, in order."""
@@ -40,7 +40,7 @@
             raise failed
         try:
             return self._frames(data)
-        except (FrameTooLargeError, FrameUnreadableError, FrameEmptyError) as error:
+        except FrameError as error:
             self._failed = error
             self._unfinished.clear()
             raise
--- a/stackrouter/controlplane/observer.py
+++ b/stackrouter/controlplane/observer.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -25,13 +24,12 @@
     Heartbeat,
     HeartbeatAnswer,
     Hello,
-    Node,
-    NodeChanges,
     Reject,
     RejectReason,
     SnapshotPart,
     Welcome,
 )
+from stackrouter.controlplane.pending_nodes import PendingNodes, TakeNodes
 from stackrouter.controlplane.replica import PROTOCOL
 from stackrouter.controlplane.routing import Backoff, ReplicaAddress, replica_order
 from stackrouter.controlplane.snapshot import (
@@ -52,8 +50,22 @@
     StreamGapError,
 )
 
-MOST_PENDING_NODES = 60_000  # received and not yet handed on; past it the connection is ended
-MOST_PENDING_CHANGES = 4096
+__all__ = [
+    "ChangeReceived",
+    "Connect",
+    "GatewayIdentity",
+    "Hangup",
+    "HeartbeatConfirmed",
+    "Link",
+    "Observer",
+    "ObserverAction",
+    "ObserverTimes",
+    "SendFrame",
+    "StateLoaded",
+    "TakeNodes",
+    "TakePolicy",
+]
+
 MOST_HELD_DELTAS = 1024  # of a history that is not confirmed yet
 
 
@@ -107,18 +119,6 @@
     version: Version
 
 
-@dataclass(frozen=True, slots=True)
-class TakeNodes:
-    """A piece of a change of the list. `index`: discovery's version; `whole`: with `last`, all nodes that no
-    piece since `first` named are gone. A piece with `first` begins anew what was not finished."""
-
-    index: int
-    whole: bool
-    first: bool
-    last: bool
-    nodes: Sequence[Node]
-
-
 @dataclass(frozen=True, slots=True)
 class StateLoaded:
     """For a replica that passes on what it observes: the whole state, in place of changes."""
@@ -171,37 +171,6 @@
         return LogPosition(start.history, start.number + len(self.deltas))
 
 
-@dataclass(slots=True)
-class _PendingNodes:
-    """A change of the list that is handed on in pieces."""
-
-    index: int
-    whole: bool
-    source: ReceivedSnapshot | NodeChanges
-    next_piece: int = 0
-
-    @property
-    def pieces(self) -> int:
-        if isinstance(self.source, ReceivedSnapshot):
-            return max(1, len(self.source.node_chunks))
-        return max(1, -(-len(self.source.nodes) // NODES_IN_CHUNK))
-
-    @property
-    def nodes(self) -> int:
-        if isinstance(self.source, ReceivedSnapshot):
-            return len(self.source.node_chunks) * NODES_IN_CHUNK
-        return len(self.source.nodes)
-
-    def take(self) -> TakeNodes:
-        """The next piece."""
-        piece, self.next_piece = self.next_piece, self.next_piece + 1
-        if isinstance(self.source, NodeChanges):
-            nodes = self.source.nodes[piece * NODES_IN_CHUNK : (piece + 1) * NODES_IN_CHUNK]
-        else:
-            nodes = self.source.nodes(piece) if self.source.node_chunks else []
-        return TakeNodes(self.index, self.whole, piece == 0, piece + 1 == self.pieces, nodes)
-
-
 class Observer:
     """One gateway's connection to the control plane. Methods return what is to be done, in order.
 
@@ -235,8 +204,7 @@
         self._stream_history = ""  # of this connection
         self._assembler = SnapshotAssembler()
         self._held: _Held | None = None
-        self._pending: deque[_PendingNodes] = deque()
-        self._pending_nodes = 0
+        self._pending = PendingNodes()
         self._sequence = 0  # of the last heartbeat, of all connections
         self._answered = 0  # the last that was answered or belongs to an older connection
         self._unanswered_since: int | None = None
@@ -513,17 +481,16 @@
         self.policy.version_activated(snapshot.active)
         actions = self._take_policy()
         if snapshot.nodes_index != NO_LIST:
-            self._pending.clear()  # the whole list comes in place of what was not handed on yet
-            self._pending_nodes = 0
-            self._queue_nodes(_PendingNodes(snapshot.nodes_index, True, snapshot))
+            self._pending.replace(snapshot)
         return actions
 
     def _apply(self, delta: Delta, now: int) -> list[ObserverAction]:
         change = delta.WhichOneof("change")
         if change is None:
             raise FrameUnexpectedError(f"change {delta.number} is of a kind that is not known here")
+        small = not self._pending and len(delta.nodes.nodes) <= NODES_IN_CHUNK
         if change == "nodes" and not self._relay:
-            self._bound_pending(len(delta.nodes.nodes))
+            self._pending.add(delta.nodes)  # first, for it may refuse
         self.position = LogPosition(self.position.history, delta.number)
         if self._relay:
             return [ChangeReceived(delta.number, delta)]
@@ -533,33 +500,13 @@
             case "activated":
                 self.policy.version_activated(delta.activated)
             case "nodes":
-                return self._take_nodes(delta.nodes)
+                return self._take_piece() if small else []
         return self._take_policy()
 
     def _take_policy(self) -> list[ObserverAction]:
         version = self.policy.next_version()
         return [TakePolicy(version)] if version is not None else []
 
-    def _take_nodes(self, changes: NodeChanges) -> list[ObserverAction]:
-        """Hand a small change on at once, unless older ones wait."""
-        empty = not self._pending
-        self._queue_nodes(_PendingNodes(changes.index, changes.whole, changes))
-        return self._take_piece() if empty and len(changes.nodes) <= NODES_IN_CHUNK else []
-
-    def _bound_pending(self, nodes: int) -> None:
-        if self._pending_nodes + nodes > MOST_PENDING_NODES or len(self._pending) >= MOST_PENDING_CHANGES:
-            raise StreamGapError("changes of the list come faster than they can be taken")
-
-    def _queue_nodes(self, change: _PendingNodes) -> None:
-        self._pending.append(change)
-        self._pending_nodes += change.nodes
-
     def _take_piece(self) -> list[ObserverAction]:
-        if not self._pending:
-            return []
-        change = self._pending[0]
-        taken = change.take()
-        if taken.last:
-            self._pending.popleft()
-            self._pending_nodes -= change.nodes
-        return [taken]
+        taken = self._pending.take()
+        return [taken] if taken is not None else []
