--- a/stackrouter/coord/raft.py
+++ b/stackrouter/coord/raft.py
@@ -38,11 +38,16 @@
     UNKNOWN,
     ActiveSeen,
     Answered,
+    Barrier,
     Command,
     Event,
+    Lease,
     LeaseSeen,
+    LogPosition,
     MemberView,
     PolicySeen,
+    ServingReport,
+    StateReplaced,
     TermSeen,
 )
 from stackrouter.errors import StoreError, defect, tell
@@ -102,23 +107,47 @@
             old.disconnect()
 
 
+@dataclass(frozen=True, slots=True)
+class _Applied:
+    """What a command gave when it was applied here. It stays in this process."""
+
+    why: str
+    lease: Lease | None = None
+    position: LogPosition | None = None
+
+
 class _Group(SyncObj):  # type: ignore[misc]
     def __init__(self, node: TCPNode, others: Sequence[TCPNode], conf: SyncObjConf,
                  applied: Callable[[list[Event]], None]) -> None:  # fmt: skip
         self._applied = applied  # set before the library notes which attributes are not replicated
+        self._told: Ledger | None = None  # whose changes were told from the beginning on
         super().__init__(node, others, conf, transportClass=_Transport)
-        self.ledger = Ledger()  # ... and this after: it goes into snapshots
+        self.ledger = self._told = Ledger()  # ... and this after: it goes into snapshots
         # A member that starts listens for a leader first: standing for election before it has been reached by
         # the one there is would depose that one, for the library asks for no vote beforehand.
         self._SyncObj__raftElectionDeadline += conf.raftMaxTimeout
 
     @replicated  # type: ignore[misc]
-    def commit(self, command: Command) -> tuple[str, Any]:
+    def commit(self, command: Command) -> _Applied:
+        self.tell_replaced()
         why, events = self.ledger.apply(command)
         if events:
             self._applied(events)
+        if isinstance(command, Barrier):
+            return _Applied(why, position=self.ledger.position())
         duty = getattr(command, "duty", "")
-        return why, self.ledger.lease(duty) if duty else None
+        return _Applied(why, self.ledger.lease(duty) if duty else None)
+
+    def tell_replaced(self) -> None:
+        """Tell all that is known, if a snapshot came in the place of its commands: before any command that
+        is applied after it."""
+        if self.ledger is self._told:
+            return
+        ledger = self._told = self.ledger
+        self._applied([LeaseSeen(lease) for lease in ledger.leases.values()])
+        self._applied([PolicySeen(version) for version in ledger.policies])
+        self._applied([ActiveSeen(ledger.active)])
+        self._applied([StateReplaced(ledger.state())])
 
 
 class Raft:
@@ -147,6 +176,7 @@
         self._events: deque[Event] = deque(maxlen=MOST_EVENTS)
         self._term = TermSeen(0, NOBODY)
         self._asked = 0
+        self._state_wanted = threading.Event()
         self._closing = threading.Event()
         self._thread = threading.Thread(target=self._run, name="coord-raft", daemon=True)
         self._wake: Callable[[], None] = lambda: None
@@ -182,6 +212,18 @@
     def present(self) -> dict[str, tuple[int, int]]:
         return dict(self._group.ledger.present) if self._group is not None else {}
 
+    def request_state(self) -> None:
+        """Have the whole state told as a StateReplaced, in order with all other events."""
+        self._state_wanted.set()
+
+    def reports(self) -> dict[str, ServingReport]:
+        """By replica, what its gateways served under at its last barrier."""
+        return dict(self._group.ledger.reports) if self._group is not None else {}
+
+    def applied(self) -> int:
+        """How many entries of the log were applied, since the group began."""
+        return int(self._group.raftLastApplied) if self._group is not None else 0
+
     def members(self) -> list[MemberView]:
         group = self._group
         up = {node.id for node in group.otherNodes if group.isNodeConnected(node)} if group else set()
@@ -197,12 +239,11 @@
         self._events.extend(events)
         self._wake()
 
-    def _answer(self, number: int, result: tuple[str, Any] | None, failure: int) -> None:
+    def _answer(self, number: int, result: _Applied | None, failure: int) -> None:
         if failure != FAIL_REASON.SUCCESS or result is None:
             self._hear([Answered(number, False, None, WHY.get(failure, UNKNOWN))])
         else:
-            why, lease = result
-            self._hear([Answered(number, not why, lease, why)])
+            self._hear([Answered(number, not result.why, result.lease, result.why, result.position)])
 
     def _run(self) -> None:
         while not self._closing.is_set():
@@ -211,13 +252,11 @@
                 continue
             assert self._group is not None
             try:
-                loaded = self._group.ledger
                 self._group.doTick(self._tick_s)
-                if self._group.ledger is not loaded:  # a snapshot came in the place of its commands
-                    ledger = self._group.ledger
-                    self._hear([LeaseSeen(lease) for lease in ledger.leases.values()])
-                    self._hear([PolicySeen(version) for version in ledger.policies])
-                    self._hear([ActiveSeen(ledger.active)])
+                self._group.tell_replaced()
+                if self._state_wanted.is_set():
+                    self._state_wanted.clear()
+                    self._hear([StateReplaced(self._group.ledger.state())])
                 self._look()
             except Exception:  # a peer that sends what cannot be read must not end the member
                 defect(log, "coordination")
