Let fleet run start up to 64 members, and count their log entries, elections and steady CPU

Needed: where a full mesh of Raft members ends. `fleet run` refused over 15 members (`cli/fleet.py` MOST), a harness had 100 ports (33 members of three each, `fleet/rig.py` SLOT), and a member's CPU was told with its start in it.

Changed: - up to 64 members, the number of peers that the operator's file takes (`edge/config.py`, `peer`) and of members that the ledger notes (`MOST_MEMBERS`, unchanged): 100 members would need both raised; - 200 ports a harness; the wait for the first holders grows by 0.5 s a member, since all start at once; - without faults no link proxy stands between members: at 64 there would be 2,016 in the one harness process, and the proxy would be measured in place of the members. With faults nothing changes; - options `--touch-ms`, `--after-ms` (the defaults as they were) and `--every-ms`, so that the operator's defaults can be played and the drill's own cost told apart; - new names in the JSON: `cpu_steady_ms_s` (while faults and changes come, without the start), `log_entries_s` (counted in the members' journals), `elections`.

--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -24,9 +24,9 @@
 app = typer.Typer(no_args_is_help=True, help="Several gateways, with faults between them.")
 
 BROKEN = ("overlaps", "belief_overlaps", "unfinished", "uncommitted_served", "twins", "disagreed")
-FEWEST, MOST = 1, 15
+FEWEST, MOST = 1, 64  # as many as the operator's file names peers
 SLACK_MS = 500  # beyond ttl and election: the bound that handoffs are held to
-TOUCH_MS, SAMPLE_MS = 1000, 60  # fleet.rig's touch; its members say every 40 ms what they serve under
+SAMPLE_MS = 20  # beyond the time between two actions: how much later a sample comes at most
 Handoffs = list[tuple[str, float, bool]]  # the fault's kind, milliseconds, whether nothing else was wrong
 
 
@@ -50,6 +50,15 @@
     work_ms: Annotated[
         int, typer.Option(min=0, max=10_000, help="From a member's look at its lease to its action.")
     ] = 8,
+    touch_ms: Annotated[
+        int, typer.Option(min=100, max=60_000, help="How long an answered heartbeat is valid.")
+    ] = 1000,
+    after_ms: Annotated[
+        int, typer.Option(min=100, max=60_000, help="From a version's commit to its activation.")
+    ] = 1500,
+    every_ms: Annotated[
+        int, typer.Option(min=1, max=60_000, help="From one action of a member to its next.")
+    ] = 40,
     load: Annotated[
         float, typer.Option(min=0, max=2, help="Clients that ask for this part of what the nodes bear.")
     ] = 0.0,
@@ -76,10 +85,13 @@
     if not 0 <= 2 * drift_ms < ttl_ms:
         what = f"must be less than half of the ttl ({ttl_ms}), not {drift_ms}"
         raise OptionError(what, key="--drift-ms")
+    if after_ms <= touch_ms:
+        raise OptionError(f"must be more than --touch-ms ({touch_ms}), not {after_ms}", key="--after-ms")
     if runs > rounds:
         options = ["--members", members, "--nemesis", nemesis, "--seconds", str(seconds), "--check", check,
                    "--ttl-ms", str(ttl_ms), "--drift-ms", str(drift_ms), "--election-ms", str(election_ms),
-                   "--work-ms", str(work_ms), "--rounds", str(rounds), "--load", str(load),
+                   "--work-ms", str(work_ms), "--touch-ms", str(touch_ms), "--after-ms", str(after_ms),
+                   "--every-ms", str(every_ms), "--rounds", str(rounds), "--load", str(load),
                    *(["--unfenced"] if unfenced else []),
                    *(["--logs", str(logs)] if logs else [])]  # fmt: skip
         figures = _many(options, range(seed, seed + runs, rounds), parallel)
@@ -87,7 +99,8 @@
         from stackrouter.fleet.rig import Setup
 
         setup = Setup(count, seed, seconds, named, ttl_ms, drift_ms, election_ms, work_ms,
-                      policy=check == "policy", load=load, fenced=not unfenced)  # fmt: skip
+                      policy=check == "policy", touch_ms=touch_ms, after_ms=after_ms, every_ms=every_ms,
+                      load=load, fenced=not unfenced)  # fmt: skip
         figures = _one(setup, logs, rounds)
     bound = ttl_ms + election_ms + SLACK_MS
     within_drift = "skew-beyond" not in named
@@ -96,7 +109,7 @@
     if check == "policy":
         # A member that has not heard of a version has stopped taking requests before anybody serves under it;
         # its clock and ours may differ by the drift, and a sample comes at most so much late.
-        split_bound = TOUCH_MS * (1 + drift_ms / ttl_ms) + SAMPLE_MS
+        split_bound = touch_ms * (1 + drift_ms / ttl_ms) + every_ms + SAMPLE_MS
         figures["split_bound_ms"] = split_bound
         holds = holds and not (figures["uncommitted_served"] or figures["twins"] or figures["disagreed"])
         holds = holds and (figures["split_ms_max"] or 0) <= split_bound
@@ -147,7 +160,10 @@
         "refused": verdict.refused, "actions": verdict.actions, "unfinished": verdict.unfinished,
         "faults": sum(kinds.values()), "by_kind": dict(kinds), "handoffs": handoffs,
         "cpu_ms_s": [round(v, 1) for v in rig.load.cpu_ms_s],
+        "cpu_steady_ms_s": [round(v, 1) for v in rig.load.cpu_steady_ms_s],
         "rss_mib": [round(v, 1) for v in rig.load.rss_mib],
+        "log_entries_s": None if rig.log_entries_s is None else round(rig.log_entries_s, 1),
+        "elections": rig.elections,
         "discovery_calls_s": round(calls_s, 2),
         "exits": dict(Counter(str(code) for code in rig.exits)), "requests": _requests(rig),
     } | _times(handoffs) | (_policy(rig) if rig.setup.policy else {})  # fmt: skip
--- a/stackrouter/fleet/rig.py
+++ b/stackrouter/fleet/rig.py
@@ -24,6 +24,7 @@
 from stackrouter.errors import PolicyBaseError, PolicyUnknownError, StartError
 from stackrouter.fleet.check import Action, Fault, PolicyVerdict, Served, Verdict, check, check_policy
 from stackrouter.fleet.proxy import Link, Way
+from stackrouter.fleet.raft_log import last_index
 from stackrouter.fleet.schedule import Change, Schedule, Step, draw, draw_changes
 from stackrouter.standins.clients import StandinClients
 from stackrouter.standins.discovery import StandinDiscovery, entry
@@ -31,12 +32,13 @@
 from stackrouter.standins.node import Nature, StandinNode
 
 START_S = 20.0
+START_MEMBER_S = 0.5  # and so much more for each member: all of them start at once
 SETTLE_S = 8.0  # for the first holders, and at the end for whoever has to take over
 STOP_S = 6.0
 CALL_S = 1.5
 LONGEST_LINE = 256
 NODES = 6
-FIRST_PORT, SLOT, SLOTS = 12_000, 100, 200
+FIRST_PORT, SLOT, SLOTS = 12_000, 200, 100  # 64 members take three ports each
 
 
 class Ports:
@@ -77,15 +79,18 @@
     policy: bool = False  # keep a policy, change it, and note who serves under which version
     touch_ms: int = 1000
     after_ms: int = 1500
+    every_ms: int = 40  # from one action of a member to its next
     load: float = 0.0  # clients that ask for this part of what the stand-in nodes bear
     fenced: bool = True  # False plants a fault: the receiver takes whatever comes
 
 
 @dataclass(slots=True)
 class Load:
-    """What a member cost: CPU ms a second of its life, its memory in MiB at the end."""
+    """What a member cost: CPU ms a second of its life, and of the time that faults and changes came (without
+    its start); its memory in MiB at the end."""
 
     cpu_ms_s: list[float] = field(default_factory=list)
+    cpu_steady_ms_s: list[float] = field(default_factory=list)
     rss_mib: list[float] = field(default_factory=list)
 
 
@@ -146,7 +151,8 @@
         for i in range(setup.members):
             for j in range(setup.members):
                 # The library connects from the higher address, as text, to the lower: one link a pair.
-                if self.addresses[i] > self.addresses[j]:
+                # Without faults there is nothing to do on a link, and members reach one another directly.
+                if setup.kinds and self.addresses[i] > self.addresses[j]:
                     host, _, port = self.addresses[j].rpartition(":")
                     self.links[i, j] = Link((host, int(port)), self.rng)
         self.programs: dict[int, subprocess.Popen[bytes]] = {}
@@ -157,6 +163,8 @@
         self.faults: list[Fault] = []
         self.exits: list[int] = []
         self.load = Load()
+        self.log_entries_s: float | None = None  # of the last round; None: its journals could not be read
+        self.elections = 0  # terms that began while faults and changes came
         self._born: dict[int, float] = {}
         self._down: set[int] = set()
         self._variants = 0
@@ -168,7 +176,9 @@
                 if i != self.late:
                     self._start(i)
             self._await(
-                lambda: all(self.receiver.holder(duty) for duty in DUTIES), START_S, "no duty was taken"
+                lambda: all(self.receiver.holder(duty) for duty in DUTIES),
+                START_S + START_MEMBER_S * self.setup.members,
+                "no duty was taken",
             )
         except BaseException:
             self.__exit__()
@@ -226,7 +236,17 @@
             setup = self.setup
             drawn = draw_changes(seed, setup.members, setup.seconds, setup.ttl_ms * 1000, bool(setup.kinds))
             steps += [gevent.spawn_later(change.at_us / 1e6, self._change, change) for change in drawn]
+        began, entries, term = time.monotonic(), self.log_index(), self.term()
+        cpu = {program.pid: cpu_ms(program.pid) for program in self.programs.values()}
         gevent.sleep(self.setup.seconds)
+        lasted = time.monotonic() - began
+        if entries and (now := self.log_index()):
+            self.log_entries_s = (now - entries) / lasted
+        self.elections += self.term() - term
+        for program in self.programs.values():
+            spent, before = cpu_ms(program.pid), cpu.get(program.pid)
+            if spent is not None and before is not None:
+                self.load.cpu_steady_ms_s.append((spent - before) / lasted)
         gevent.joinall(steps, raise_error=True)
         for i, program in self.programs.items():
             self._measure(i, program)
@@ -374,6 +394,18 @@
 
     def leader(self) -> str | None:
         """Who leads in the latest term that any member's log tells of."""
+        return self._latest()[1] or None
+
+    def term(self) -> int:
+        """The latest term in which a leader was elected."""
+        return self._latest()[0]
+
+    def log_index(self) -> int:
+        """How many entries the group's log has had; 0: no journal could be read."""
+        journals = [self.folder / f"{address.replace(':', '_')}.journal" for address in self.addresses]
+        return max(last_index(journal) for journal in journals)
+
+    def _latest(self) -> tuple[int, str]:
         best = (0, "")
         for name in self.names:
             log = self.folder / f"{name}.log"
@@ -381,7 +413,7 @@
                 if "coord.term term=" in line and not line.endswith("leader=nobody"):
                     words = dict(w.split("=", 1) for w in line.split() if "=" in w)
                     best = max(best, (int(words["term"]), words["leader"]))
-        return best[1] or None
+        return best
 
     # Processes.
 
@@ -399,7 +431,7 @@
             f"""coordination {{ enabled: true folder: "{self.folder}" ttl_ms: {setup.ttl_ms}
   max_drift_ms: {setup.drift_ms} election_ms: {setup.election_ms}
   policy {{ enabled: {str(setup.policy).lower()} touch_ms: {setup.touch_ms} after_ms: {setup.after_ms} }}
-{peers}  drill {{ receiver: "{self.receiver.address}" work_ms: {setup.work_ms}
+{peers}  drill {{ receiver: "{self.receiver.address}" every_ms: {setup.every_ms} work_ms: {setup.work_ms}
     clock_ppm: {self.clock_ppm[i]} }} }}
 """
         )
@@ -439,11 +471,21 @@
 
     def _measure(self, i: int, program: subprocess.Popen[bytes]) -> None:
         try:
-            stat = Path(f"/proc/{program.pid}/stat").read_text().rpartition(")")[2].split()
             pages = int(Path(f"/proc/{program.pid}/statm").read_text().split()[1])
         except (OSError, IndexError):
             return
-        ticks = int(stat[11]) + int(stat[12])
+        spent = cpu_ms(program.pid)
+        if spent is None:
+            return
         lived = time.monotonic() - self._born[i]
-        self.load.cpu_ms_s.append(1000 * ticks / os.sysconf("SC_CLK_TCK") / max(0.1, lived))
+        self.load.cpu_ms_s.append(spent / max(0.1, lived))
         self.load.rss_mib.append(pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20))
+
+
+def cpu_ms(pid: int) -> float | None:
+    """Processor time of a process so far, in milliseconds; None: it is no more."""
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return None
+    return 1000 * (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from stackrouter.fleet.raft_log import last_index
 from stackrouter.fleet.rig import Rig, Setup
 from tests.test_cli import run as command
 
@@ -66,6 +67,27 @@
     return draw(seed, 4, ("join",), 4.0, 800_000, 80_000, ("watch",)).late is not None
 
 
+class RaftLog(unittest.TestCase):
+    def test_the_last_index_is_read_as_the_library_wrote_it(self) -> None:
+        from pysyncobj.journal import FileJournal
+
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder, "journal")
+            self.assertEqual(last_index(file), 0)
+            journal = FileJournal(str(file))
+            self.addCleanup(journal._destroy)
+            self.assertEqual(last_index(file), 0)  # empty
+            for index in range(1, 400):
+                journal.add(b"x" * index, index, 7)
+            self.assertEqual(last_index(file), 399)
+            journal.deleteEntriesTo(300)  # a compaction
+            self.assertEqual(last_index(file), 399)
+            journal.deleteEntriesFrom(50)  # entries that another leader does not have
+            self.assertEqual(last_index(file), 350)
+            file.write_bytes(file.read_bytes()[:60])
+            self.assertEqual(last_index(file), 0)  # cut off
+
+
 class Watcher(unittest.TestCase):
     def test_one_asks_discovery_for_all_and_each_for_itself_once_the_group_is_lost(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
