Split the fault rig into modules with one job each, and call it a harness

Needed: `fleet/rig.py` (491 lines) held ports, processes, links, faults, policy changes and measuring in one class; the scale run needs some of them without the others.

Moved, behaviour unchanged: `ports.py` (Ports), `options.py` (Setup, now HarnessOptions), `receiver.py` (Receiver), `links.py` (LinkMesh), `backend.py` (stand-in nodes, discovery, clients), `member_files.py` (MemberPlace, MemberFiles), `processes.py` (MemberProcesses), `member_logs.py` (Leadership), `cost.py` (Load, now Cost; CostMeter), `faults.py` (FaultInjector), `policy_changes.py` (PolicyChanges), `harness.py` (Rig, now Harness). `rig.py` is gone.

Tests: names alone change.

--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -19,7 +19,8 @@
 
 if TYPE_CHECKING:
     from stackrouter.fleet.check import Verdict
-    from stackrouter.fleet.rig import Rig
+    from stackrouter.fleet.harness import Harness
+    from stackrouter.fleet.options import HarnessOptions
 
 app = typer.Typer(no_args_is_help=True, help="Several gateways, with faults between them.")
 
@@ -96,12 +97,12 @@
                    *(["--logs", str(logs)] if logs else [])]  # fmt: skip
         figures = _many(options, range(seed, seed + runs, rounds), parallel)
     else:
-        from stackrouter.fleet.rig import Setup
+        from stackrouter.fleet.options import HarnessOptions
 
-        setup = Setup(count, seed, seconds, named, ttl_ms, drift_ms, election_ms, work_ms,
+        one = HarnessOptions(count, seed, seconds, named, ttl_ms, drift_ms, election_ms, work_ms,
                       policy=check == "policy", touch_ms=touch_ms, after_ms=after_ms, every_ms=every_ms,
                       load=load, fenced=not unfenced)  # fmt: skip
-        figures = _one(setup, logs, rounds)
+        figures = _one(one, logs, rounds)
     bound = ttl_ms + election_ms + SLACK_MS
     within_drift = "skew-beyond" not in named
     holds = not (figures["overlaps"] or figures["failed"] or figures["unfinished"])
@@ -133,58 +134,59 @@
     return least + seed % (most - least + 1)
 
 
-def _one(setup: Any, logs: Path | None, rounds: int) -> dict[str, Any]:
-    from stackrouter.fleet.rig import Rig
+def _one(options: HarnessOptions, logs: Path | None, rounds: int) -> dict[str, Any]:
+    from stackrouter.fleet.harness import Harness
 
     with tempfile.TemporaryDirectory(prefix="stackrouter-fleet-") as scratch:
         folder = Path(scratch)
         if logs is not None:
-            folder = logs / f"seed-{setup.seed}"
+            folder = logs / f"seed-{options.seed}"
             folder.mkdir(parents=True, exist_ok=True)
         try:
-            rig = Rig(setup, folder)
-            with rig:
-                verdict = rig.run(rounds)
+            harness = Harness(options, folder)
+            with harness:
+                verdict = harness.run(rounds)
         except StartError as error:
-            raise StartError(f"seed {setup.seed}: {error}") from None
-        return _figures(rig, verdict) | {"runs": rounds}
+            raise StartError(f"seed {options.seed}: {error}") from None
+        return _figures(harness, verdict) | {"runs": rounds}
 
 
-def _figures(rig: Rig, verdict: Verdict) -> dict[str, Any]:
-    kinds = Counter(f.kind for f in rig.faults)
+def _figures(harness: Harness, verdict: Verdict) -> dict[str, Any]:
+    kinds = Counter(f.kind for f in harness.injector.faults)
     handoffs: Handoffs = [(h.kind, round(h.ms, 1), h.clean) for h in verdict.handoffs]
-    calls_s = rig.discovery.calls / max(0.1, rig.took_s)
+    calls_s = harness.backend.discovery.calls / max(0.1, harness.took_s)
     return {
-        "members": rig.setup.members, "seed": rig.setup.seed, "runs": 1, "failed": 0,
+        "members": harness.options.members, "seed": harness.options.seed, "runs": 1, "failed": 0,
         "overlaps": verdict.overlaps, "belief_overlaps": verdict.belief_overlaps,
         "refused": verdict.refused, "actions": verdict.actions, "unfinished": verdict.unfinished,
         "faults": sum(kinds.values()), "by_kind": dict(kinds), "handoffs": handoffs,
-        "cpu_ms_s": [round(v, 1) for v in rig.load.cpu_ms_s],
-        "cpu_steady_ms_s": [round(v, 1) for v in rig.load.cpu_steady_ms_s],
-        "rss_mib": [round(v, 1) for v in rig.load.rss_mib],
-        "log_entries_s": None if rig.log_entries_s is None else round(rig.log_entries_s, 1),
-        "elections": rig.elections,
+        "cpu_ms_s": [round(v, 1) for v in harness.meter.cost.cpu_ms_s],
+        "cpu_steady_ms_s": [round(v, 1) for v in harness.meter.cost.cpu_steady_ms_s],
+        "rss_mib": [round(v, 1) for v in harness.meter.cost.rss_mib],
+        "log_entries_s": None if harness.log_entries_s is None else round(harness.log_entries_s, 1),
+        "elections": harness.elections,
         "discovery_calls_s": round(calls_s, 2),
-        "exits": dict(Counter(str(code) for code in rig.exits)), "requests": _requests(rig),
-    } | _times(handoffs) | (_policy(rig) if rig.setup.policy else {})  # fmt: skip
+        "exits": dict(Counter(str(code) for code in harness.exits)), "requests": _requests(harness),
+    } | _times(handoffs) | (_policy(harness) if harness.options.policy else {})  # fmt: skip
 
 
-def _requests(rig: Rig) -> dict[str, Any]:
+def _requests(harness: Harness) -> dict[str, Any]:
     """What the clients were told; `slowest_ms` of the last 500 answers of each volume."""
-    if rig.clients is None:
+    if harness.backend.clients is None:
         return {}
-    told = list(rig.clients.told.values())
+    told = list(harness.backend.clients.told.values())
     verdicts = sum((t.verdicts for t in told), Counter[str]())
     return dict(verdicts) | {"slowest_ms": round(1000 * max(max(t.recent, default=0.0) for t in told), 1)}
 
 
-def _policy(rig: Rig) -> dict[str, Any]:
-    verdict = rig.policy()
-    committed = len({number for ledger in rig.ledgers for number, _ in ledger})
+def _policy(harness: Harness) -> dict[str, Any]:
+    verdict, changes = harness.check_policy(), harness.policy_changes
+    committed = len({number for ledger in changes.ledgers for number, _ in ledger})
     return {
-        "uncommitted_served": verdict.uncommitted_served, "twins": verdict.twins, "disagreed": rig.disagreed,
-        "committed": committed, "aborted": sum(rig.changes.values()) - committed,
-        "changes": dict(rig.changes), "samples": verdict.samples,
+        "uncommitted_served": verdict.uncommitted_served, "twins": verdict.twins,
+        "disagreed": changes.disagreed,
+        "committed": committed, "aborted": sum(changes.outcomes.values()) - committed,
+        "changes": dict(changes.outcomes), "samples": verdict.samples,
         "splits_ms": [round(ms, 1) for ms in verdict.splits_ms],
         "spreads_ms": [round(ms, 1) for ms in verdict.spreads_ms],
     } | _spans([*verdict.splits_ms], [*verdict.spreads_ms])  # fmt: skip
--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -500,7 +500,7 @@
 class StartError(
     StackrouterError, code="SR-STANDIN-START", do="Look at the line quoted: it is the process's own last one."
 ):
-    """A process of a demo or a fault rig did not start."""
+    """A process of a demo or a fault harness did not start."""
 
 
 def page() -> str:
--- a/stackrouter/fleet/__init__.py
+++ b/stackrouter/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The fault rig: several processes of the program on loopback, faults between them, their history checked."""
+"""The fault harness: processes of the program on loopback, faults between them, their history checked."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,14 +11,15 @@
 
 import gevent
 
+from stackrouter.fleet.harness import Harness
+from stackrouter.fleet.options import HarnessOptions
 from stackrouter.fleet.raft_log import last_index
-from stackrouter.fleet.rig import Rig, Setup
 from tests.test_cli import run as command
 
 
-def counted(rig: Rig, name: str) -> dict[str, int]:
+def counted(harness: Harness, name: str) -> dict[str, int]:
     """The member's counters now, which it prints when asked."""
-    log, program = rig.folder / f"{name}.log", rig.programs[rig.names.index(name)]
+    log, program = harness.folder / f"{name}.log", harness.processes.programs[harness.names.index(name)]
     before = len(printed(log))
     program.send_signal(signal.SIGUSR1)
     until = time.monotonic() + 10
@@ -47,17 +48,21 @@
     def test_a_holder_that_wakes_and_acts_is_refused_and_without_the_fence_the_check_says_so(self) -> None:
         for fenced in (True, False):
             with self.subTest(fenced=fenced), tempfile.TemporaryDirectory() as folder:
-                setup = Setup(members=3, seed=2, seconds=6.0, kinds=("stall",), work_ms=400, fenced=fenced)
-                with Rig(setup, Path(folder)) as rig:
-                    found = rig.run()
+                options = HarnessOptions(
+                    members=3, seed=2, seconds=6.0, kinds=("stall",), work_ms=400, fenced=fenced
+                )
+                with Harness(options, Path(folder)) as harness:
+                    found = harness.run()
                 self.assertEqual(found.overlaps == 0, fenced)
                 self.assertEqual(found.refused > 0, fenced)
 
     def test_a_member_that_joins_while_the_leader_is_stopped_takes_part(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             seed = next(s for s in range(100) if joins_late(s))
-            with Rig(Setup(members=4, seed=seed, seconds=4.0, kinds=("join",)), Path(folder)) as rig:
-                self.assertEqual(rig.run().overlaps, 0)
+            with Harness(
+                HarnessOptions(members=4, seed=seed, seconds=4.0, kinds=("join",)), Path(folder)
+            ) as harness:
+                self.assertEqual(harness.run().overlaps, 0)
             self.assertIn("coord.term", (Path(folder) / "g4.log").read_text())
 
 
@@ -91,21 +96,25 @@
 class Watcher(unittest.TestCase):
     def test_one_asks_discovery_for_all_and_each_for_itself_once_the_group_is_lost(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
-            with Rig(Setup(members=3, seed=1), Path(folder)) as rig:
+            with Harness(HarnessOptions(members=3, seed=1), Path(folder)) as harness:
                 gevent.sleep(6.0)  # all follow by now: a watch lasts 2 s
-                before = rig.discovery.calls
+                before = harness.backend.discovery.calls
                 gevent.sleep(4.0)
-                self.assertLessEqual(rig.discovery.calls - before, 4)  # alone, three gateways make 6
-                known = {name: counted(rig, name).get("lists.delta", 0) for name in rig.names}
-                rig.discovery.change("s-1", status="draining")
+                self.assertLessEqual(
+                    harness.backend.discovery.calls - before, 4
+                )  # alone, three gateways make 6
+                known = {name: counted(harness, name).get("lists.delta", 0) for name in harness.names}
+                harness.backend.discovery.change("s-1", status="draining")
                 until = time.monotonic() + 10
-                while any(counted(rig, name).get("lists.delta", 0) == known[name] for name in rig.names):
+                while any(
+                    counted(harness, name).get("lists.delta", 0) == known[name] for name in harness.names
+                ):
                     self.assertLess(time.monotonic(), until, "the change has not reached all")
                 for i in (0, 1):  # no majority is left
-                    rig.programs[i].kill()
-                before = rig.discovery.calls
+                    harness.processes.programs[i].kill()
+                before = harness.backend.discovery.calls
                 until = time.monotonic() + 20
-                while rig.discovery.calls < before + 3:
+                while harness.backend.discovery.calls < before + 3:
                     self.assertLess(time.monotonic(), until, "the one that is left does not ask")
                     gevent.sleep(0.1)
-            self.assertEqual(rig.exits[2], 0)
+            self.assertEqual(harness.exits[2], 0)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -18,7 +18,9 @@
 from stackrouter.coord.policy import OWN, PolicyStateMachine, Rules, Version
 from stackrouter.coord.port import Activate, ActiveSeen, PolicySeen, Present, Propose
 from stackrouter.fleet.check import Served, check_policy
-from stackrouter.fleet.rig import Rig, Setup
+from stackrouter.fleet.harness import Harness
+from stackrouter.fleet.options import HarnessOptions
+from stackrouter.fleet.policy_changes import PolicyChanges
 from tests.test_cli import run as command
 
 MS = 1000
@@ -132,11 +134,11 @@
         self.assertEqual(check_policy([], [[(1, "x")], [(1, "y")]]).twins, 1)
 
 
-def change(rig: Rig, i: int, call: str, makes: int) -> None:
+def change(changes: PolicyChanges, i: int, call: str, makes: int) -> None:
     """Until it is committed: a change of leader leaves a call without an answer that says so."""
     until = time.monotonic() + 20
-    while f"SUCCESS version={makes}" not in (said := rig._call(i, call)):
-        told = rig._status(i)
+    while f"SUCCESS version={makes}" not in (said := changes.call(i, call)):
+        told = changes.status(i)
         if told is not None and told["version"] == makes:
             return
         assert time.monotonic() < until, said
@@ -155,27 +157,35 @@
             self.assertIn(name, told)
 
     def test_a_broken_change_is_refused_and_a_draining_or_restarted_member_comes_along(self) -> None:
-        with tempfile.TemporaryDirectory() as folder, Rig(Setup(members=3, policy=True), Path(folder)) as rig:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            Harness(HarnessOptions(members=3, policy=True), Path(folder)) as harness,
+        ):
+            changes = harness.policy_changes
             broken = Path(folder, "broken.json")
-            broken.write_text(rig._variant().read_text().replace('"MaxAttempts": 2', '"MaxAttempts": 0'))
-            said = rig._call(0, f"policy propose 0 {broken}")
+            broken.write_text(
+                changes.write_variant().read_text().replace('"MaxAttempts": 2', '"MaxAttempts": 0')
+            )
+            said = changes.call(0, f"policy propose 0 {broken}")
             self.assertIn("FAILURE SR-RELOAD-VALUE: policy: line", said)
             self.assertIn("Caps.MaxAttempts: must be a number over 0", said)
             self.assertEqual(
-                rig._call(0, "policy rollback 0"), "FAILURE SR-POLICY-VERSION: version 0 is not known here\n"
+                changes.call(0, "policy rollback 0"),
+                "FAILURE SR-POLICY-VERSION: version 0 is not known here\n",
+            )
+            self.assertIn("SUCCESS", changes.call(1, "standby"))  # a change while a member drains
+            harness.processes.kill(2)
+            change(changes, 0, f"policy propose 0 {changes.write_variant()}", 1)
+            self.assertIn(
+                "another change came first", changes.call(1, f"policy propose 0 {changes.write_variant()}")
             )
-            self.assertIn("SUCCESS", rig._call(1, "standby"))  # a change while a member drains
-            rig.programs[2].kill()
-            rig.programs[2].wait()
-            change(rig, 0, f"policy propose 0 {rig._variant()}", 1)
-            self.assertIn("another change came first", rig._call(1, f"policy propose 0 {rig._variant()}"))
-            rig._start(2)
-            self.assertTrue(rig._await(rig._agreed, 20.0, "", fatal=False))
-            change(rig, 2, f"policy propose 1 {rig._variant()}", 2)
-            change(rig, 0, "policy rollback 2", 3)
-            self.assertTrue(rig._await(rig._agreed, 20.0, "", fatal=False))
-            told = rig._status(1)
+            harness.processes.start(2)
+            self.assertTrue(harness.wait_until(changes.agreed, 20.0, "", fatal=False))
+            change(changes, 2, f"policy propose 1 {changes.write_variant()}", 2)
+            change(changes, 0, "policy rollback 2", 3)
+            self.assertTrue(harness.wait_until(changes.agreed, 20.0, "", fatal=False))
+            told = changes.status(1)
             assert told is not None
             self.assertEqual((told["version"], told["versions"][2][1]), (3, told["versions"][0][1]))
-            found = rig.policy()
+            found = harness.check_policy()
             self.assertEqual((found.uncommitted_served, found.twins), (0, 0))
