--- a/stackrouter/coord/lease.py
+++ b/stackrouter/coord/lease.py
@@ -52,6 +52,8 @@
 
 
 class Phase(enum.Enum):
+    """Where a lease client stands."""
+
     WAITING = "waiting"  # somebody else may hold it
     ASKING = "asking"  # has asked to take it
     HOLDING = "holding"
@@ -59,13 +61,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """Hand this command in; `number` comes back in `LeaseKeeper.numbered`."""
+    """Hand this command in; `number` comes back in `LeaseClient.numbered`."""
 
     command: Command
 
 
 @dataclass(frozen=True, slots=True)
 class Begin:
+    """Act under this token from now on, as long as `LeaseClient.acting` says so."""
+
     duty: str
     token: int
 
@@ -82,7 +86,10 @@
 Action = Ask | Begin | End
 
 
-class LeaseKeeper:
+class LeaseClient:
+    """`phase`: whether it holds the duty, as far as it knows; `seen`: the ledger's record as last heard;
+    `wanted`: False makes it give the duty back and ask no more."""
+
     def __init__(self, duty: str, member: str, timing: Timing, now: int, store_expires: bool = False) -> None:
         """`member`: a name that no other life of this gateway has: a lease held under another is not ours."""
         self.duty, self.member, self.timing = duty, member, timing
--- a/tests/test_coord.py
+++ b/tests/test_coord.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from stackrouter.coord.fence import Fence
-from stackrouter.coord.lease import Ask, Begin, End, LeaseKeeper, Timing, bears
+from stackrouter.coord.lease import Ask, Begin, End, LeaseClient, Timing, bears
 from stackrouter.coord.ledger import Ledger
 from stackrouter.coord.port import (
     UNKNOWN,
@@ -43,13 +43,13 @@
 
 
 class Play:
-    """Keepers on one ledger in true time, each with a clock of its own rate; messages are late or lost,
+    """Lease clients on one ledger in true time, each with a clock of its own rate; messages are late or lost,
     members cut off for a while. Returns when each looked and saw its lease in force."""
 
     def __init__(self, rates: list[float], seed: int, loss: float, cuts: list[tuple[int, int, int]]) -> None:
         self.rng, self.loss, self.cuts = Random(seed), loss, cuts
         self.rates, self.ledger = rates, Ledger()
-        self.keepers = [LeaseKeeper("d", f"m{i}", TIMING, self.clock(i, 0)) for i in range(len(rates))]
+        self.clients = [LeaseClient("d", f"m{i}", TIMING, self.clock(i, 0)) for i in range(len(rates))]
         self.mail: list[tuple[int, int, Callable[[], object]]] = []
         self.looks: list[tuple[int, int, int]] = []  # true ms, token, member
         self.begun = 0
@@ -70,7 +70,7 @@
             if isinstance(action, Ask):
                 number = self.rng.getrandbits(48)
                 if not isinstance(action.command, Release):
-                    self.keepers[i].numbered(number, self.clock(i, ms))
+                    self.clients[i].numbered(number, self.clock(i, ms))
                 self.post(ms, i, lambda c=action.command, n=number: self.commit(i, c, n))  # type: ignore[misc]
 
     def commit(self, i: int, command: Acquire | Renew | Release, number: int) -> None:
@@ -79,18 +79,18 @@
         self.post(
             self.now,
             i,
-            lambda: self.do(self.now, i, self.keepers[i].answered(answer, self.clock(i, self.now))),
+            lambda: self.do(self.now, i, self.clients[i].answered(answer, self.clock(i, self.now))),
         )
         for event in events:
             if isinstance(event, LeaseSeen):
-                for j in range(len(self.keepers)):
+                for j in range(len(self.clients)):
                     self.post(self.now, j, lambda j=j, e=event: self.see(j, e.lease))  # type: ignore[misc]
 
     def see(self, j: int, lease: Lease) -> None:
         if (
-            lease.mark >= self.keepers[j].seen.mark
+            lease.mark >= self.clients[j].seen.mark
         ):  # members hear in order; what is lost is made up for later
-            self.do(self.now, j, self.keepers[j].saw(lease, self.clock(j, self.now)))
+            self.do(self.now, j, self.clients[j].saw(lease, self.clock(j, self.now)))
 
     def run(self) -> list[tuple[int, int, int]]:
         for self.now in range(END_MS):
@@ -99,9 +99,9 @@
             for _, i, what in due:
                 if not self.cut(i, self.now):
                     what()
-            for i, keeper in enumerate(self.keepers):
-                self.do(self.now, i, keeper.tick(self.clock(i, self.now)))
-                if (token := keeper.acting(self.clock(i, self.now))) is not None:
+            for i, client in enumerate(self.clients):
+                self.do(self.now, i, client.tick(self.clock(i, self.now)))
+                if (token := client.acting(self.clock(i, self.now))) is not None:
                     self.looks.append((self.now, token, i))
         return self.looks
 
@@ -141,52 +141,52 @@
     def test_a_holder_that_stood_still_past_its_lease_does_not_act_and_a_late_answer_begins_nothing(
         self,
     ) -> None:
-        keeper = LeaseKeeper("d", "a", TIMING, 0)
-        self.assertEqual(keeper.tick(0), [Ask(Acquire("d", "a", (0, 0)))])
-        keeper.numbered(1, 0)
+        client = LeaseClient("d", "a", TIMING, 0)
+        self.assertEqual(client.tick(0), [Ask(Acquire("d", "a", (0, 0)))])
+        client.numbered(1, 0)
         self.assertEqual(
-            keeper.answered(Answered(1, True, Lease("d", "a", 1)), 720 * MS), []
+            client.answered(Answered(1, True, Lease("d", "a", 1)), 720 * MS), []
         )  # known too late
-        self.assertIsNone(keeper.acting(720 * MS))
-        keeper = LeaseKeeper("d", "a", TIMING, 0)
-        keeper.tick(0)
-        keeper.numbered(1, 0)
-        self.assertEqual(keeper.answered(Answered(1, True, Lease("d", "a", 1)), 10 * MS), [Begin("d", 1)])
-        self.assertEqual(keeper.acting(719 * MS), 1)
-        self.assertIsNone(keeper.acting(720 * MS))
-        self.assertEqual(keeper.tick(5000 * MS), [End("d", 1, "lapsed")])
+        self.assertIsNone(client.acting(720 * MS))
+        client = LeaseClient("d", "a", TIMING, 0)
+        client.tick(0)
+        client.numbered(1, 0)
+        self.assertEqual(client.answered(Answered(1, True, Lease("d", "a", 1)), 10 * MS), [Begin("d", 1)])
+        self.assertEqual(client.acting(719 * MS), 1)
+        self.assertIsNone(client.acting(720 * MS))
+        self.assertEqual(client.tick(5000 * MS), [End("d", 1, "lapsed")])
 
     def test_a_lost_answer_is_made_up_for_by_the_ledger_from_the_first_ask_on(self) -> None:
         for asks, begins in ((1, True), (5, False)):  # the fifth ask goes out 720 ms after the first
-            keeper = LeaseKeeper("d", "a", TIMING, 0)
+            client = LeaseClient("d", "a", TIMING, 0)
             for n in range(asks):
-                keeper.tick(n * 180 * MS)
+                client.tick(n * 180 * MS)
             now = (asks - 1) * 180 * MS + 100 * MS
-            actions = keeper.saw(Lease("d", "a", 1), now)
+            actions = client.saw(Lease("d", "a", 1), now)
             self.assertEqual(Begin("d", 1) in actions, begins)
-            self.assertEqual(keeper.acting(719 * MS), 1 if begins else None)
-            self.assertIsNone(keeper.acting(720 * MS))
-        keeper = LeaseKeeper("d", "a", TIMING, 0)
-        keeper.tick(0)
-        keeper.saw(Lease("d", "b", 3), 10 * MS)
+            self.assertEqual(client.acting(719 * MS), 1 if begins else None)
+            self.assertIsNone(client.acting(720 * MS))
+        client = LeaseClient("d", "a", TIMING, 0)
+        client.tick(0)
+        client.saw(Lease("d", "b", 3), 10 * MS)
         self.assertNotIn(
-            Begin("d", 4), keeper.saw(Lease("d", "a", 4), 20 * MS)
+            Begin("d", 4), client.saw(Lease("d", "a", 4), 20 * MS)
         )  # not over a mark we asked about
 
     def test_a_record_told_again_is_not_taken_for_a_new_holding(self) -> None:
-        keeper = LeaseKeeper("d", "a", TIMING, 0)
-        keeper.tick(0)
-        self.assertIn(Begin("d", 1), keeper.saw(Lease("d", "a", 1), 10 * MS))
-        self.assertIn(End("d", 1, "lapsed"), keeper.tick(900 * MS))
-        self.assertIn(Ask(Acquire("d", "a", (1, 0))), keeper.tick(1700 * MS))
-        self.assertNotIn(Begin("d", 1), keeper.saw(Lease("d", "a", 1), 1710 * MS))  # from a snapshot
+        client = LeaseClient("d", "a", TIMING, 0)
+        client.tick(0)
+        self.assertIn(Begin("d", 1), client.saw(Lease("d", "a", 1), 10 * MS))
+        self.assertIn(End("d", 1, "lapsed"), client.tick(900 * MS))
+        self.assertIn(Ask(Acquire("d", "a", (1, 0))), client.tick(1700 * MS))
+        self.assertNotIn(Begin("d", 1), client.saw(Lease("d", "a", 1), 1710 * MS))  # from a snapshot
 
     def test_a_lease_of_a_former_life_is_not_acted_under(self) -> None:
-        keeper = LeaseKeeper("d", "a#2", TIMING, 0)
-        self.assertEqual(keeper.saw(Lease("d", "a#1", 4, 2), 0), [])
-        self.assertIsNone(keeper.acting(1))
-        self.assertEqual(keeper.tick(799 * MS), [])
-        self.assertEqual(keeper.tick(800 * MS), [Ask(Acquire("d", "a#2", (4, 2)))])
+        client = LeaseClient("d", "a#2", TIMING, 0)
+        self.assertEqual(client.saw(Lease("d", "a#1", 4, 2), 0), [])
+        self.assertIsNone(client.acting(1))
+        self.assertEqual(client.tick(799 * MS), [])
+        self.assertEqual(client.tick(800 * MS), [Ask(Acquire("d", "a#2", (4, 2)))])
 
 
 class LedgerTest(unittest.TestCase):
