Take long node lists in pieces, and one changed entry in proportion to the change

Needed: at 17,000 nodes a whole list held the event loop for over half a second, and one changed entry cost 7 ms.

Cause: Controller._list rebuilt `listed` and scanned all nodes for those gone with each update; Engine._listed scanned all nodes too; discovery read and handed on a whole list in one go.

Ruled out: gevent.sleep(0) between pieces. For greenlets that only step aside gevent looks at neither sockets nor timers: the hold was that of the whole list. A pause is a timer of 1 us and one more round (a test with a socket).

Change: - control.py: the ready nodes are a list with each node's place in it (the last takes a free place), the others a dict. A list of up to 256 entries goes out as it came. - net/list_taker.py: ListTaker.take(kind, version, entries, addresses) is the one way by which lists reach the engine, for the control plane too. net/discovery.py reads and hands on through it; the 4 MiB limit has a name.

Known: whole lists over 256 entries no longer repair what a caught exception in the engine lost.

--- a/benchmarks/large_fleet.py
+++ b/benchmarks/large_fleet.py
@@ -1,6 +1,10 @@
 """What a request and a list of 60 nodes cost one of 40 gateways, this tree against another of the project.
 
-    python benchmarks/large_fleet.py --other ../older-tree [--repeats 7]
+    python benchmarks/large_fleet.py --other ../older-tree [--repeats 7] [--nodes 1000,17000]
+
+With --nodes, for each size: taking a whole list from its parsed JSON (`whole`) and again with one node
+changed (`again`), how long the event loop was held by either at most (`hold`), parsing the JSON (`json`, one
+piece in which nothing else runs), and one changed entry (`entry`).
 
 No sockets: the list goes from discovery's JSON through the engine to the module, a request from the engine to
 a transport that answers at once. The trees take turns, each in a process of its own; ratios are of the same
@@ -10,6 +14,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import json
 import os
 import statistics
@@ -19,6 +24,8 @@
 from pathlib import Path
 
 NODES, GATEWAYS = 60, 40
+HELD_STEP_S = 0.0005  # the watch of the event loop wakes so often
+ENTRIES = 200  # changed entries told one by one
 
 
 def lists(engine, listing, rounds: int) -> float:  # type: ignore[no-untyped-def]
@@ -80,18 +87,98 @@
     return spent / rounds * 1e6
 
 
-def measure() -> dict[str, float]:
+def endpoint(number: int) -> dict[str, object]:
+    address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:6379"
+    return {"name": f"s-{number:08x}", "address": address, "zone": "a", "type": "m", "group": number,
+            "status": "up", "weight": 1.0, "since_ms": 0}  # fmt: skip
+
+
+class Held:
+    """The longest time for which the event loop could not run a greenlet that was due."""
+
+    def __init__(self) -> None:
+        import gevent
+
+        self.longest_us, self._sleep = 0.0, gevent.sleep
+        self._greenlet = gevent.spawn(self._watch)
+        gevent.sleep(0.01)
+        self.longest_us = 0.0
+
+    def _watch(self) -> None:
+        while True:
+            due = time.perf_counter() + HELD_STEP_S
+            self._sleep(HELD_STEP_S)
+            self.longest_us = max(self.longest_us, (time.perf_counter() - due) * 1e6)
+
+    def stop(self) -> float:
+        self._sleep(0.01)
+        self._greenlet.kill()
+        return self.longest_us
+
+
+def large(engine, listing, count: int) -> dict[str, float]:  # type: ignore[no-untyped-def]
+    """Microseconds for lists of this many nodes, from discovery's JSON to the module."""
+    import gevent
+
+    from stackrouter.net.discovery import Discovery
+
+    discovery = Discovery(("", 0), listing, engine.counters, engine.listed, known=0)
+    runner = gevent.spawn(engine.run)
+    nodes = [endpoint(i) for i in range(count)]
+
+    def timed(call) -> float:  # type: ignore[no-untyped-def]
+        began = time.process_time()
+        call()
+        while not engine.idle():
+            gevent.sleep(0)
+        gevent.sleep(0)
+        return (time.process_time() - began) * 1e6
+
+    def snapshot(version: int) -> dict[str, object]:
+        return {"index": version, "snapshot": True, "endpoints": nodes}
+
+    body = json.dumps(snapshot(1)).encode()
+    began = time.process_time()
+    raw = json.loads(body)
+    found = {"json": (time.process_time() - began) * 1e6}
+    held = Held()
+    found["whole"] = timed(lambda: discovery.follow(raw))
+    held_at_first = held.stop()
+    nodes[count // 2]["status"] = "draining"
+    raw = json.loads(json.dumps(snapshot(2)))
+    held = Held()
+    found["again"] = timed(lambda: discovery.follow(raw))
+    found["hold"] = max(held_at_first, held.stop())
+    assert len(engine.nodes) == count, len(engine.nodes)
+
+    def changes() -> None:
+        for n in range(ENTRIES):
+            status = "draining" if n % 2 else "up"
+            change = {**endpoint(n // 2 % count), "status": status}
+            discovery.follow({"index": 3 + n, "snapshot": False, "endpoints": [change]})
+            gevent.sleep(0)
+
+    found["entry"] = timed(changes) / ENTRIES
+    runner.kill()
+    return {f"{what} {count}": value for what, value in found.items()}
+
+
+def measure(sizes: list[int]) -> dict[str, float]:
     from rackseam.interface import Plan, RequestClass, Settings
     from stackrouter.core.counters import Counters
     from stackrouter.core.engine import Engine, clock_us
     from stackrouter.net.discovery import Listing
 
+    gc.set_threshold(10_000)  # as the gateway has it
     settings = Settings(
         classes=(RequestClass(aim_us=400_000, deadline_us=2_000_000),), plans=(Plan(),), gateways=GATEWAYS,
         cold_share=0.17, cold_us=16_000_000, cold_bears_units=14.0, fall_us=3_000_000, tip_multiple=3.0,
     )  # fmt: skip
     engine, listing = Engine(settings, 1000, Counters()), Listing(["a"], ["m"], clock_us())
-    return {"list": lists(engine, listing, 300), "request": requests(engine, 5000)}
+    found = {"list": lists(engine, listing, 300), "request": requests(engine, 5000)}
+    for count in sizes:
+        found |= large(Engine(settings, 1000, Counters()), listing, count)
+    return found
 
 
 def main() -> None:
@@ -99,24 +186,25 @@
     parser.add_argument("--other", type=Path)
     parser.add_argument("--repeats", type=int, default=7)
     parser.add_argument("--one", action="store_true", help="measure the tree in PYTHONPATH and print JSON")
+    parser.add_argument("--nodes", default="", help="sizes of lists, with commas between them")
     args = parser.parse_args()
     if args.one:
-        print(json.dumps(measure()))
+        print(json.dumps(measure([int(count) for count in args.nodes.split(",") if count])))
         return
     trees = {"this": Path(__file__).parent.parent, "other": args.other or Path(__file__).parent.parent}
     rows: dict[str, list[dict[str, float]]] = {name: [] for name in trees}
     for _ in range(args.repeats):
         for name, tree in trees.items():
             done = subprocess.run(
-                [sys.executable, __file__, "--one"], cwd=tree, check=True, capture_output=True,
-                env={**os.environ, "PYTHONPATH": str(tree.resolve())},
+                [sys.executable, __file__, "--one", "--nodes", args.nodes], cwd=tree, check=True,
+                capture_output=True, env={**os.environ, "PYTHONPATH": str(tree.resolve())},
             )  # fmt: skip
             rows[name].append(json.loads(done.stdout))
     for what in rows["this"][0]:
         ratios = [a[what] / b[what] for a, b in zip(rows["this"], rows["other"], strict=True)]
         this, other = (statistics.median(r[what] for r in rows[name]) for name in trees)
         print(
-            f"{what:8} {this:7.1f} us, other {other:7.1f} us; "
+            f"{what:12} {this:9.1f} us, other {other:9.1f} us; "
             f"ratio {statistics.median(ratios):.2f} ({min(ratios):.2f} to {max(ratios):.2f})"
         )
 
--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -75,7 +75,7 @@
 
 class _Node:
     def __init__(self, node: str) -> None:
-        self.id, self.shard, self.zone, self.ready, self.launched = node, -1, 0, False, 0
+        self.id, self.shard, self.zone, self.ready, self.launched, self.place = node, -1, 0, False, 0, -1
         self.out_n = self.missed = self.missed_at = self.sent_at = self.done_at = 0
         self.out_units, self.rate, self.rate_at, self.rtt, self.rtt_at = 0.0, 0.0, 0, 0.0, 0
         self.alive_at = self.alone_until = self.wake_at = 0
@@ -131,7 +131,8 @@
         self.requests: dict[str, _Request] = {}
         self.volumes: dict[tuple[str, int], _Volume] = {}
         self.nodes: dict[str, _Node] = {}
-        self.listed: list[_Node] = []  # the ready ones
+        self.listed: list[_Node] = []  # the ready ones, each at its `place`
+        self.leaving: dict[str, _Node] = {}  # not ready: forgotten once nothing is out there
         self.all = _Node("")  # the mean answer time and the summed rate of all nodes
         self.shards: dict[int, _Shard] = {}
         self.chains: dict[str, deque[_Request]] = {}
@@ -224,8 +225,10 @@
             self.list_call += 1
         touched: dict[int, None] = {}
         if e.kind is not ListKind.DELTA:
+            named = {entry.node for entry in e.nodes}
             for node in self.nodes.values():
-                node.ready = False  # unless it is named below
+                if node.id not in named:
+                    self._set_ready(node, False)
         for entry in e.nodes:
             known = self.nodes.get(entry.node)
             if known is None:
@@ -240,16 +243,30 @@
                     self.shards[known.shard].nodes.remove(known)
                 known.shard = entry.shard
                 self.shards.setdefault(entry.shard, _Shard(entry.shard)).nodes.append(known)
-            known.ready = entry.state is NodeState.READY
+            self._set_ready(known, entry.state is NodeState.READY)
             touched[entry.shard] = None
-        self.listed = [node for node in self.nodes.values() if node.ready]
-        for node in [n for n in self.nodes.values() if not n.ready and not n.out_n]:
-            del self.nodes[node.id]
+        for node in [n for n in self.leaving.values() if not n.out_n]:
+            del self.nodes[node.id], self.leaving[node.id]
             self.shards[node.shard].nodes.remove(node)
         for number in touched:
             self._kick(self.shards[number])
         self._kick(self.others)
 
+    def _set_ready(self, node: _Node, ready: bool) -> None:
+        """The last takes the place that is left: one changed entry must not cost with all nodes."""
+        if ready and node.place < 0:
+            node.place = len(self.listed)
+            self.listed.append(node)
+        elif not ready and node.place >= 0:
+            last = self.listed[-1]
+            self.listed[node.place], last.place = last, node.place
+            self.listed.pop()
+            node.place = -1
+        node.ready = ready
+        self.leaving.pop(node.id, None)
+        if not ready:
+            self.leaving[node.id] = node
+
     # --- requests in
 
     def _arrival(self, e: api.Arrival) -> None:
--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -71,7 +71,7 @@
                                    version if entries else None, config.settings.seed,
                                    config.settings.gateways, not config.settings.list_on_request)  # fmt: skip
         self.engine.fetch_list = self.discovery.refetch
-        self.engine.listed(ListKind.CACHED, version, entries, addresses)
+        self.discovery.lists.take(ListKind.CACHED, version, entries, addresses)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
         self.drain = Drain()  # standby and active on the operators' door; PING tells the front
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -233,19 +233,24 @@
         self.counters.add(f"lists.{kind.name.lower()}")
         if self.tap is not None:
             self.tap(facts.Listed(self._now, kind, version, tuple(entries)))
+        gone: dict[str, Node] = {}
         if kind in (ListKind.FULL, ListKind.CACHED):
             named = {entry.node for entry in entries}
-            for node in self.nodes.values():
-                if node.name not in named:
-                    node.state = NodeState.GONE
+            gone = {name: node for name, node in self.nodes.items() if name not in named}
+            for node in gone.values():
+                node.state = NodeState.GONE
         for entry in entries:
             known = self.nodes.get(entry.node)
             address = addresses[entry.node]
             if known is None:
-                self.nodes[entry.node] = Node(entry.node, address, entry.shard, entry.state)
+                known = self.nodes[entry.node] = Node(entry.node, address, entry.shard, entry.state)
             else:
                 known.address, known.shard, known.state = address, entry.shard, entry.state
-        for node in [n for n in self.nodes.values() if n.state is NodeState.GONE]:
+            if known.state is NodeState.GONE:
+                gone[entry.node] = known
+        for node in gone.values():
+            if node.state is not NodeState.GONE:
+                continue  # named twice, the last entry counts
             del self.nodes[node.name]
             if self.transport:
                 self.transport.close_idle(node.name)
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -28,6 +28,7 @@
     tell,
 )
 from stackrouter.membership.asking import Asking, Call, Pace, Verdict
+from stackrouter.net.list_taker import ListTaker, Told, let_others_run
 
 log = logging.getLogger(__name__)
 
@@ -50,11 +51,11 @@
 CALLS_S = 10.0
 REFUSED_MOST_US = 5_200_000  # what discovery has counts as told 6 s later, heard or not
 REFUSALS = frozenset({429, 503})
-LARGEST = 4 << 20
+LARGEST_ANSWER_BYTES = 4 << 20  # a whole list of about 30,000 nodes (2.35 MB at 17,000)
+READ_AT_ONCE = 256  # entries of an answer that are read before other greenlets may run
 STATES = {"up": NodeState.READY, "draining": NodeState.DRAINING, "removed": NodeState.GONE}
 
 Read = tuple[int, bool, list[NodeEntry], dict[str, tuple[str, int]]]  # as Listing.read has it
-Told = Callable[[ListKind, int, Sequence[NodeEntry], dict[str, tuple[str, int]]], None]
 
 
 def pace(gateways: int, pushed: bool = False) -> Pace:
@@ -88,10 +89,15 @@
         # Mapped once: a wall clock that is set later must not make old nodes look cold.
         self._offset_us = now_us - time.time_ns() // 1000
 
-    def read(self, raw: Any) -> Read:
-        """Version, whether it is the whole list, entries and addresses; what is malformed raises."""
+    def read(self, raw: Any, pause: Callable[[], None] | None = None) -> Read:
+        """Version, whether it is the whole list, entries and addresses; what is malformed raises.
+
+        `pause` is called after each `READ_AT_ONCE` entries.
+        """
         entries, addresses = [], {}
-        for item in raw.get("endpoints") or ():
+        for number, item in enumerate(raw.get("endpoints") or ()):
+            if pause is not None and number and not number % READ_AT_ONCE:
+                pause()
             host, _, port = item["address"].rpartition(":")
             since = item.get("since_ms") or 0
             addresses[item["name"]] = (host, int(port))
@@ -122,7 +128,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.body += body
-        if len(self.body) > LARGEST:
+        if len(self.body) > LARGEST_ANSWER_BYTES:
             raise NoListError("the answer is too long")
 
     def on_message_complete(self) -> None:
@@ -133,7 +139,8 @@
     def __init__(self, address: tuple[str, int], listing: Listing, counters: Counters, told: Told,
                  known: int | None = None, seed: int = 0, gateways: int = 1,
                  pushed: bool = False) -> None:  # fmt: skip
-        self.address, self.listing, self.counters, self.told = address, listing, counters, told
+        self.address, self.listing, self.counters = address, listing, counters
+        self.lists = ListTaker(told)
         self.asking = Asking(pace(gateways, pushed), random.Random(seed), known)
         self._size = 0  # nodes in the last whole list
         self._failures = 0  # in a row
@@ -143,7 +150,7 @@
 
     def follow(self, raw: dict[str, Any]) -> None:
         """Another gateway hands on what discovery told it."""
-        read = self.listing.read(raw)
+        read = self.listing.read(raw, let_others_run)
         if self.asking.follows(read[0]):
             self._take(*read)
 
@@ -171,7 +178,7 @@
             call = self.asking.begin(_now_us())
             try:
                 raw = self._make(call)
-                read = self.listing.read(raw)
+                read = self.listing.read(raw, let_others_run)
             except TurnedAwayError as error:
                 self.counters.add("discovery.refused")
                 tell(log, error, level=logging.INFO)
@@ -211,7 +218,7 @@
               addresses: dict[str, tuple[str, int]]) -> None:  # fmt: skip
         self._doubt(version, whole, len(entries), len(addresses))
         if whole or entries:
-            self.told(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
+            self.lists.take(ListKind.FULL if whole else ListKind.DELTA, version, entries, addresses)
 
     def _doubt(self, version: int, whole: bool, entries: int, nodes: int) -> None:
         """What is odd is said, counted and believed: a node told to be gone must get nothing new."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -19,7 +19,7 @@
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 
-from rackseam.interface import NodeEntry, Outcome, Send
+from rackseam.interface import NodeEntry, NodeState, Outcome, Send
 from stackrouter.core.counters import Counters
 from stackrouter.membership.asking import Asking
 from stackrouter.net.discovery import Discovery, Listing, pace
@@ -100,6 +100,25 @@
             self.assertEqual(counters[f"discovery.{name}"], times, name)
         self.assertEqual(len(logs.output), 4)  # the third failure in a row is counted, not said
 
+    def test_a_long_list_reaches_the_engine_in_pieces_and_the_next_one_as_what_it_changes(self) -> None:
+        names = [f"s{i}" for i in range(1_000)]
+        server = Scripted(whole_list(1, *names), whole_list(2, *names[1:], "new"))
+        self.addCleanup(server.stop)
+        told: list[tuple[int, list[tuple[str, NodeState]]]] = []
+
+        def tell(kind: object, version: int, entries: Sequence[NodeEntry], _: object) -> None:
+            told.append((version, [(e.node, e.state) for e in entries]))
+
+        discovery = Discovery(server.address, Listing([], [], 0), Counters(), tell, seed=1)
+        greenlet = gevent.spawn(discovery.run)
+        self.addCleanup(greenlet.kill)
+        self.assertTrue(server.last.wait(10))
+        self.assertLessEqual(max(len(entries) for _, entries in told), 256)
+        first = [entry for version, entries in told if version == 1 for entry in entries]
+        self.assertEqual(first, [(name, NodeState.READY) for name in names])
+        second = [entry for version, entries in told if version == 2 for entry in entries]
+        self.assertEqual(second, [("new", NodeState.READY), ("s0", NodeState.GONE)])
+
     def test_forty_gateways_try_a_node_that_refuses_connections_rarely_and_never_together(self) -> None:
         tries: list[int] = []
         gateways = [Gateway(replace(SETTINGS, gateways=40, position=i, seed=i)) for i in range(40)]
