--- a/tests/control_plane_world.py
+++ b/tests/control_plane_world.py
@@ -14,14 +14,17 @@
 from stackrouter.controlplane.codec import MOST_TO_GATEWAY, MOST_TO_REPLICA, FrameDecoder, encode
 from stackrouter.controlplane.conversion import REMOVED, delta_from
 from stackrouter.controlplane.observer import (
+    ChangeReceived,
     Connect,
     GatewayIdentity,
     Hangup,
+    HeartbeatConfirmed,
     Link,
     Observer,
     ObserverAction,
     ObserverTimes,
     SendFrame,
+    StateLoaded,
     TakeNodes,
     TakePolicy,
 )
@@ -68,7 +71,8 @@
     connect_within=300 * MS, welcome_within=600 * MS, silence=700 * MS, snapshot_within=2500 * MS,
     good_after=500 * MS, backoff_base=10 * MS, backoff_most=60 * MS,
 )  # fmt: skip
-REPLICA_NAMES = ("r0", "r1", "r2")
+VOTERS = ("r0", "r1", "r2")
+RELAY = "q"  # a replica without a vote, which observes a voter
 Nodes = dict[str, float]  # weight by name
 Change = PolicySeen | ActiveSeen | ListingSeen
 
@@ -158,7 +162,8 @@
         self.pending: list[Command] = []  # barriers on their way to the quorum
         self.barriers: list[int] = []  # ids, in the order in which they were handed in
         self.state_wanted = False
-        self.do(self.machine.loaded(ReplicatedState.of(self.ledger.state()), self.world.now))
+        if self.ledger.history:
+            self.do(self.machine.loaded(ReplicatedState.of(self.ledger.state()), self.world.now))
 
     def step(self) -> None:
         """Some time has passed."""
@@ -230,6 +235,8 @@
 class Gateway:
     """A gateway's process: its clock, its observer, what it has taken."""
 
+    relay = False
+
     def __init__(self, world: World, name: str, rate: float) -> None:
         self.world, self.name, self.rate = world, name, rate
         self.offset = world.rng.randrange(1 << 40)
@@ -244,8 +251,9 @@
         self.connection: Connection | None = None
         self.policy = PolicyStateMachine(RULES)
         identity = GatewayIdentity(self.name, f"{self.name}-{self.lives}", "here")
-        addresses = [ReplicaAddress(name, f"{name}:1", "here") for name in REPLICA_NAMES]
-        self.observer = Observer(identity, addresses, self.policy, self.world.rng, TIMES)
+        names = VOTERS if self.relay else (*VOTERS, RELAY)
+        addresses = [ReplicaAddress(name, f"{name}:1", "here") for name in names]
+        self.observer = Observer(identity, addresses, self.policy, self.world.rng, TIMES, self.relay)
         self.nodes: Nodes = {}
         self.partial: Nodes = {}
         self.reached: tuple[int, int, int] = (0, 0, 0)  # history, number, version: never less again
@@ -286,6 +294,71 @@
             self.nodes = self.partial
 
 
+class Uplink(Gateway):
+    """How a replica without a vote observes a voter."""
+
+    relay = True
+
+    def __init__(self, world: World, serves: Relay) -> None:
+        self.serves = serves
+        super().__init__(world, f"{serves.name}-uplink", 1.0)
+
+    def do(self, actions: list[ObserverAction]) -> None:
+        machine, now = self.serves.machine, self.world.now
+        for action in actions:
+            match action:
+                case StateLoaded():
+                    self.serves.do(machine.loaded(action.state, now))
+                case ChangeReceived():
+                    self.serves.do(machine.committed(action.number, action.delta, now))
+                case HeartbeatConfirmed():
+                    self.serves.confirm(action)
+                case _:
+                    super().do([action])
+
+
+class Relay(Replica):
+    """A replica without a vote: its barriers are heartbeats to a voter."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.asked: list[tuple[int, int]] = []  # barrier, sequence
+        super().__init__(world, name)
+        self.uplink = Uplink(world, self)
+
+    def start(self) -> None:
+        super().start()
+        self.asked = []
+        if self.lives > 1:
+            self.world.drop(self.uplink.connection)
+            self.uplink.start()
+
+    def step(self) -> None:
+        if self.world.now >= self.machine.next_at():
+            self.do(self.machine.tick(self.world.now))
+
+    def is_old(self) -> bool:
+        return False
+
+    def confirm(self, answer: HeartbeatConfirmed) -> None:
+        confirmed = [barrier for barrier, sequence in self.asked if sequence <= answer.sequence]
+        self.asked = [(barrier, n) for barrier, n in self.asked if n > answer.sequence]
+        if confirmed:
+            self.do(self.machine.barrier_confirmed(confirmed[-1], answer.position, self.world.now))
+
+    def do(self, actions: list[ReplicaAction]) -> None:
+        for action in actions:
+            match action:
+                case StartBarrier():
+                    sequence, sent = self.uplink.observer.heartbeat(self.uplink.clock())
+                    if sequence:
+                        self.asked.append((action.barrier, sequence))
+                    self.uplink.do(sent)
+                case ReloadState():
+                    pass  # the state comes with the connection
+                case _:
+                    super().do([action])
+
+
 class World:
     """The whole, with its faults as flags and methods."""
 
@@ -302,7 +375,9 @@
         self.served = 0  # how often a gateway served at a check, so that a test can see it was no empty run
         self.histories: list[History] = []
         self.begin_history()
-        self.replicas = {name: Replica(self, name) for name in REPLICA_NAMES}
+        self.replicas = {name: Replica(self, name) for name in VOTERS}
+        self.relay = Relay(self, RELAY)
+        self.replicas[RELAY] = self.relay
         self.gateways = [Gateway(self, f"g{i}", rate) for i, rate in enumerate(rates)]
 
     @property
@@ -389,7 +464,7 @@
         """The group is begun anew; some replicas do not know, and have no quorum any more."""
         self.begin_history()
         for replica in self.replicas.values():
-            if replica not in left_behind:
+            if replica not in left_behind and replica is not self.relay:
                 for connection in list(self.connections.values()):
                     if connection.replica is replica:
                         self.cut(connection.gateway, True, False)
@@ -406,7 +481,7 @@
             for connection in list(self.connections.values()):
                 if not connection.stalled and not connection.gateway.isolated:
                     self.deliver(connection)
-            for gateway in self.gateways:
+            for gateway in (*self.gateways, self.relay.uplink):
                 gateway.step()
             self.check()
 
@@ -485,7 +560,7 @@
             replica.cut = replica.lagging = replica.slow = False
             if replica.is_old():
                 replica.join()
-        for gateway in self.gateways:
+        for gateway in (*self.gateways, self.relay.uplink):
             gateway.isolated = gateway.slow = False
             if gateway.connection is not None and gateway.connection.number in self.connections:
                 gateway.connection.stalled = False
--- a/tests/test_control_plane_machine.py
+++ b/tests/test_control_plane_machine.py
@@ -94,6 +94,8 @@
         gateway = self.world.gateways[number]
         if gateway.connection is None or gateway.connection.replica.is_old():
             return
+        if gateway.connection.replica is self.world.relay:
+            return
         replica = gateway.connection.replica
         replica.lagging = True
         self.world.run(under_way * MS)
@@ -106,6 +108,15 @@
         self.world.run(VALIDITY_US + 200 * MS)
         gateway.isolated = replica.lagging = False
 
+    @rule(isolated=st.booleans(), slow=st.booleans())
+    def trouble_between_a_relay_and_its_voter(self, isolated: bool, slow: bool) -> None:
+        uplink = self.world.relay.uplink
+        uplink.isolated, uplink.slow = isolated, slow
+
+    @rule()
+    def restart_relay(self) -> None:
+        self.world.restart_replica(self.world.relay)
+
     @rule(number=GATEWAYS, slow=st.booleans())
     def slow_gateway(self, number: int, slow: bool) -> None:
         self.world.gateways[number].slow = slow
