Reset a gateway's backoff after 3 s of a live connection, and wait 2 s at most

Cause: its connections had lasted less than 10 s each, so that the backoff was never reset and its next delay was drawn from up to 5 s; behind a replica that observes, both delays add up. A lost replica's herd stays spread over the full jitter: the first delay is drawn from 100 ms, later ones from up to 2 s, in which 975 gateways come to a replica at under 1,000 a second.

--- a/stackrouter/controlplane/observer.py
+++ b/stackrouter/controlplane/observer.py
@@ -86,9 +86,9 @@
     welcome_within: int = 2_000_000
     silence: int = 3_000_000  # a heartbeat without an answer, or while waiting for a snapshot: nothing at all
     snapshot_within: int = 60_000_000  # from the welcome to the end of the snapshot
-    good_after: int = 10_000_000  # a connection that lasted so long resets the backoff
+    good_after: int = 3_000_000  # a connection that was live for so long resets the backoff
     backoff_base: int = 100_000
-    backoff_most: int = 5_000_000
+    backoff_most: int = 2_000_000  # well below the time in which a change has to be in force
 
 
 @dataclass(frozen=True, slots=True)
