--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -19,8 +19,8 @@
 
 from stackrouter.controlplane.codec import MOST_TO_GATEWAY, FrameDecoder, encode
 from stackrouter.controlplane.frames_pb2 import Frame, Heartbeat, Hello
-from stackrouter.fleet.proxy import Link
 from stackrouter.fleet.ports import Ports
+from stackrouter.fleet.proxy import Link
 from stackrouter.fronts.platform import resp
 from stackrouter.standins.discovery import StandinDiscovery, entry
 from stackrouter.standins.fleet import Scene, habits, settings
