Take the control plane's long lists in pieces, in a greenlet and in the order in which they came

Needed: lists go to the engine in pieces of 256 with the loop free in between (net/list_taker.py), which may not happen in the event loop's own callbacks, where the control plane's client runs (controlplane/client.py): a list of more than 256 nodes would have ended there with an error of gevent's. Ruled out: a greenlet a list (a later change would overtake a long list that is still being read, and the list then be refused as older). Now one greenlet takes them in order, 1,024 at most wait, past it discovery is asked. Test: a list of 1,000 and a change told from a loop callback. The three tests that looked at once after a list was told now wait until it has come to the engine; what they check is unchanged.

--- a/stackrouter/controlplane/gateway.py
+++ b/stackrouter/controlplane/gateway.py
@@ -9,11 +9,15 @@
 import json
 import os
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import asdict
 from random import Random
 from typing import Any
 
+import gevent
+from gevent import Greenlet
+
 from stackrouter.controlplane.client import ObserverClient
 from stackrouter.controlplane.conversion import item_from
 from stackrouter.controlplane.observer import GatewayIdentity, TakeNodes
@@ -28,6 +32,7 @@
 TOKEN = 0  # a follower tells publishers apart by it; here there is one stream
 LONGEST_WAIT_S = 0.2
 SHORTEST_WAIT_S = 0.01
+MOST_LISTINGS = 1024  # received and not yet with the engine; past it discovery is asked for the whole list
 
 
 class GatewayControl:
@@ -41,6 +46,8 @@
         self._missed = False  # a change that is not known here: discovery is asked at once
         self._stream_index = -1  # discovery's version, by the last change that the control plane told
         self._items: list[dict[str, Any]] = []  # of a change that comes in pieces
+        self._listings: deque[dict[str, Any]] = deque()  # on their way to the engine, in order
+        self._worker: Greenlet[..., None] | None = None
         self.client = ObserverClient(
             GatewayIdentity(name, f"{name}#{os.getpid():x}.{time.time_ns() & 0xFFFFFFFF:x}", control.region),
             [ReplicaAddress(r.name, r.address, r.region) for r in control.replica],
@@ -57,6 +64,8 @@
     def close(self) -> None:
         """End the connection."""
         self.client.stop()
+        if self._worker is not None:
+            self._worker.kill(block=False)
 
     def holds_back(self) -> bool:
         """Whether no new request may be taken now: this gateway cannot know what policy is in force."""
@@ -84,6 +93,11 @@
         )  # fmt: skip
         return f"SUCCESS {json.dumps(asdict(told), separators=(',', ':'))}"
 
+    @property
+    def lists_pending(self) -> bool:
+        """A list came that is not wholly with the engine yet."""
+        return bool(self._listings) or (self._worker is not None and not self._worker.dead)
+
     # What the client brings (client.Sink).
 
     def take_policy(self, body: str) -> None:
@@ -128,5 +142,16 @@
             self._hand_over({"index": index, "snapshot": whole, "endpoints": items})
 
     def _hand_over(self, listing: dict[str, Any]) -> None:
-        """The one place where a list goes to the engine."""
-        self._discovery.follow(listing)
+        """Queue a list for the engine. A long one is taken in pieces, with the event loop free in between, so
+        a greenlet of its own does it, in the order in which lists came."""
+        if len(self._listings) >= MOST_LISTINGS:
+            self._listings.clear()
+            self._missed = True
+            return
+        self._listings.append(listing)
+        if self._worker is None or self._worker.dead:
+            self._worker = gevent.spawn(self._take_listings)
+
+    def _take_listings(self) -> None:
+        while self._listings:
+            self._discovery.follow(self._listings.popleft())
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -11,6 +11,7 @@
 import gevent
 from gevent import socket
 
+from rackseam.interface import NodeEntry
 from stackrouter.controlplane.client import ObserverClient
 from stackrouter.controlplane.codec import encode
 from stackrouter.controlplane.frames_pb2 import (
@@ -37,7 +38,8 @@
 from stackrouter.core.counters import Counters
 from stackrouter.edge.config import Control, Replica
 from stackrouter.errors import ConfigValueError
-from stackrouter.net.discovery import Discovery
+from stackrouter.membership.list_changes import PIECE
+from stackrouter.net.discovery import Discovery, Listing
 from tests.control_group import RawConnection
 
 RULES = Rules(validity_us=1_000_000, max_drift_us=100_000)
@@ -278,6 +280,10 @@
     def take(self, index: int, whole: bool, *names: str) -> None:
         nodes = [Node(name=name, status="up") for name in names]
         self.gateway.take_nodes(TakeNodes(index, whole, True, True, nodes))
+        self.wait_for_lists()
+
+    def wait_for_lists(self) -> None:
+        wait_for(lambda: not self.gateway.lists_pending, "a list has not come to the engine")
 
     def asked(self, index: int) -> None:
         self.gateway.told(None, {"index": index, "endpoints": []})
@@ -314,4 +320,27 @@
         for name, first, last in (("old", True, False), ("a", True, False), ("b", False, True)):
             nodes = [Node(name=name, status="up")]
             self.gateway.take_nodes(TakeNodes(2, True, first, last, nodes))
+        self.wait_for_lists()
         self.assertEqual([[e["name"] for e in told["endpoints"]] for told in self.lists], [["a", "b"]])
+
+    def test_a_long_list_from_the_event_loop_comes_in_pieces_and_changes_stay_behind_it(self) -> None:
+        told: list[tuple[int, list[str]]] = []
+
+        def tell(kind: object, version: int, entries: Sequence[NodeEntry], _: object) -> None:
+            told.append((version, [entry.node for entry in entries]))
+
+        discovery = Discovery(("127.0.0.1", 1), Listing([], [], 0), Counters(), tell, known=1)
+        self.gateway._discovery = discovery
+        self.asked(1)
+        names = [f"n{number}" for number in range(1_000)]
+        nodes = [Node(name=name, address="127.0.0.1:1", status="up") for name in names]
+        change = [Node(name="new", address="127.0.0.1:1", status="up")]
+
+        def come() -> None:
+            self.gateway.take_nodes(TakeNodes(2, True, True, True, nodes))
+            self.gateway.take_nodes(TakeNodes(3, False, True, True, change))
+
+        gevent.get_hub().loop.run_callback(come)  # as the client's sockets and timers do
+        wait_for(lambda: bool(told) and told[-1][1] == ["new"], "the change has not come")
+        self.assertLessEqual(max(len(entries) for _, entries in told), PIECE)
+        self.assertEqual([name for _, entries in told for name in entries], [*names, "new"])
