--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -580,6 +580,13 @@
     """There is no error with this code."""
 
 
+class ScaleLimitError(
+    InputError, code="SR-SCALE-LIMIT",
+    do="Change what the line names, on the machine or on the command line, and run it again.",
+):  # fmt: skip
+    """This machine does not bear a scale run of the size asked for; nothing was started."""
+
+
 class StartError(
     StackrouterError, code="SR-STANDIN-START", do="Look at the line quoted: it is the process's own last one."
 ):
