Run hollow gateways by the hundred beside real ones: stackrouter fleet scale

Needed: whether changes reach all gateways in time, and what control costs, at sizes of which this machine can hold no processes. Replicas and real gateways are processes of the program; regions are cut by links between them; a real gateway's bytes are counted at a link of its own, and its cost is told against a gateway without control in the same run. The run can fail: a replica that drops one activation, and a gateway that serves a version at its commit, are each caught by a test; these and a sound run play side by side, 17 s together.

--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -14,6 +14,7 @@
 
 import typer
 
+from stackrouter.cli import scale
 from stackrouter.cli.shared import BAD_INPUT, NOT_SO, AsJson, bar, out, print_json
 from stackrouter.errors import OptionError, StartError
 
@@ -22,6 +23,7 @@
     from stackrouter.fleet.rig import Rig
 
 app = typer.Typer(no_args_is_help=True, help="Several gateways, with faults between them.")
+app.command("scale")(scale.scale)
 
 BROKEN = ("overlaps", "belief_overlaps", "unfinished", "uncommitted_served", "twins", "disagreed")
 FEWEST, MOST = 1, 15
--- /dev/null
+++ b/stackrouter/fleet/scale/harness.py
@@ -0,0 +1,198 @@
+"""All that a scale run starts: discovery, links, control replicas, real gateways, processes of hollow
+gateways."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from collections.abc import Callable
+from dataclasses import asdict
+from pathlib import Path
+from random import Random
+
+from stackrouter.errors import StartError
+from stackrouter.fleet.rig import Ports
+from stackrouter.fleet.scale import doors
+from stackrouter.fleet.scale.files import (
+    Reach,
+    ReplicaPorts,
+    drift_ms,
+    gateway_config,
+    gateway_file,
+    observing_replica_file,
+    policy_file,
+    storage_nodes,
+    voter_file,
+)
+from stackrouter.fleet.scale.hollow import HollowSetup
+from stackrouter.fleet.scale.layout import BASELINE, HollowPlace, Layout, RealPlace, ReplicaPlace
+from stackrouter.fleet.scale.network import Network
+from stackrouter.fleet.scale.options import ScaleOptions
+from stackrouter.fleet.scale.processes import Child, HollowChild, end_all, wait_until
+from stackrouter.fleet.scale.reports import Report
+from stackrouter.standins.discovery import StandinDiscovery
+
+REPLICA_START_S = 15.0
+GATEWAY_START_S = 30.0
+
+
+class Harness:
+    """Use as a context: on the way out all that was started ends. `heard` is called with the name of a
+    process of hollow gateways and each of its reports."""
+
+    def __init__(self, options: ScaleOptions, layout: Layout, folder: Path,
+                 heard: Callable[[str, Report], None]) -> None:  # fmt: skip
+        self.options, self.layout, self.folder = options, layout, folder
+        self._heard = heard
+        self._ports = Ports()
+        self.discovery = StandinDiscovery(storage_nodes(options.nodes))
+        self.replica_ports = {
+            place.name: ReplicaPorts(self._ports.take(), self._ports.take(), self._ports.take())
+            for place in layout.replicas
+        }
+        self.network = Network(
+            layout,
+            {name: ports.observed for name, ports in self.replica_ports.items()},
+            {name: ports.peer for name, ports in self.replica_ports.items()},
+            Random(options.seed),
+            cuttable=options.faults,
+        )
+        self.admin_ports: dict[str, int] = {}  # of the real gateways and the baseline
+        self.replicas = {place.name: self._replica(place) for place in layout.replicas}
+        self.reals = {real.name: self._real(real, i) for i, real in enumerate(layout.reals)}
+        self.baseline = self._gateway(BASELINE, len(layout.reals), {})
+        self.hollows = {place.name: self._hollow(place, i) for i, place in enumerate(layout.processes)}
+        self.ended: list[doors.ReplicaStatus] = []  # of replicas that were killed, as each was before
+        self._variants = 0
+
+    def __enter__(self) -> Harness:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for child in self.children:
+            child.measure(False)
+        end_all(self.gateways)
+        end_all(list(self.replicas.values()))
+        self.network.close()
+        self.discovery.stop()
+        self._ports.close()
+
+    @property
+    def gateways(self) -> list[Child]:
+        """All gateways' processes, the baseline among them."""
+        return [*self.reals.values(), self.baseline, *self.hollows.values()]
+
+    @property
+    def children(self) -> list[Child]:
+        return [*self.replicas.values(), *self.gateways]
+
+    def start_replicas(self, ready: Callable[[], bool]) -> None:
+        """StartError: they do not serve in time."""
+        for child in self.replicas.values():
+            child.start()
+        what = f"the control replicas are not ready within {REPLICA_START_S:g} s"
+        wait_until(ready, REPLICA_START_S, list(self.replicas.values()), what)
+
+    def start_gateways(self, ready: Callable[[], bool]) -> None:
+        """StartError: they are not all served in time."""
+        for child in self.gateways:
+            child.start()
+        what = f"the gateways are not all served within {GATEWAY_START_S:g} s"
+        wait_until(ready, GATEWAY_START_S, self.children, what)
+
+    def status(self, replica: str) -> doors.ReplicaStatus | None:
+        """What a replica tells of itself; None: it does not answer."""
+        return doors.replica_status(self.replica_ports[replica].admin)
+
+    def kill_replica(self, replica: str) -> None:
+        """SIGKILL. Its counters begin anew with its next process: what they held is kept in `ended`."""
+        if (status := self.status(replica)) is not None:
+            self.ended.append(status)
+        self.replicas[replica].kill()
+
+    def empty_disk(self, replica: str) -> None:
+        """A replica that does not run loses all that it kept."""
+        if self.replicas[replica].running:
+            raise StartError(f"{replica}: still runs, its disk cannot be emptied")
+        shutil.rmtree(self._replica_folder(replica), ignore_errors=True)
+
+    def new_policy(self) -> Path:
+        """A file of settings that differs from all before."""
+        self._variants += 1
+        file = self.folder / f"policy-{self._variants}.json"
+        file.write_text(policy_file(self.options, self._variants), encoding="utf-8")
+        return file
+
+    def _replica_folder(self, replica: str) -> Path:
+        return self.folder / f"{replica}.raft"
+
+    def _replica(self, place: ReplicaPlace) -> Child:
+        file = self.folder / f"{place.name}.txtpb"
+        ports = self.replica_ports[place.name]
+        voters = [other for other in self.layout.replicas if other.votes]
+        if place.votes:
+            own_addresses = [self._reach(v, f"127.0.0.1:{self.replica_ports[v.name].peer}") for v in voters]
+            peers = [
+                (reach, self._dialed(place, voter))
+                for reach, voter in zip(own_addresses, voters, strict=True)
+            ]
+            folder = str(self._replica_folder(place.name))
+            text = voter_file(self.options, place, ports, peers, folder, self.discovery.address)
+        else:
+            others = [self._reach(v, self.network.replica_address(place.region, v)) for v in voters]
+            text = observing_replica_file(self.options, place, ports, others)
+        file.write_text(text, encoding="utf-8")
+        planted = self.options.planted == "dropped-delta" and place.name == self.layout.replicas[0].name
+        module = "stackrouter.fleet.scale.planted" if planted else "stackrouter.controlplane.process"
+        environ = {"GW_CONFIG": str(self.folder / f"{BASELINE}.json")}  # changes are checked against it
+        return Child(place.name, ["-m", module, str(file)], environ, self.folder)
+
+    def _dialed(self, near: ReplicaPlace, far: ReplicaPlace) -> str:
+        """Where a voter dials another one, if not at its address. The library connects from the higher
+        address, as text, to the lower."""
+        near_port, far_port = self.replica_ports[near.name].peer, self.replica_ports[far.name].peer
+        if f"127.0.0.1:{near_port}" <= f"127.0.0.1:{far_port}":
+            return ""
+        address = self.network.peer_address(near, far)
+        return "" if address == f"127.0.0.1:{far_port}" else address
+
+    def _real(self, real: RealPlace, position: int) -> Child:
+        replicas = [self._reach(p, self.network.real_address(real, p)) for p in self.layout.replicas]
+        file = self.folder / f"{real.name}.txtpb"
+        file.write_text(gateway_file(self.options, real, replicas), encoding="utf-8")
+        return self._gateway(real.name, position, {"GW_EDGE": str(file)})
+
+    def _gateway(self, name: str, position: int, environ: dict[str, str]) -> Child:
+        listen, admin = self._ports.take(), self._ports.take()
+        self.admin_ports[name] = admin
+        file = self.folder / f"{name}.json"
+        known = self.discovery.listing()
+        config = gateway_config(self.options, name, position, listen, admin, self.discovery.address, known)
+        file.write_text(config, encoding="utf-8")
+        return Child(name, ["-m", "stackrouter"], environ | {"GW_CONFIG": str(file)}, self.folder)
+
+    def _hollow(self, place: HollowPlace, number: int) -> HollowChild:
+        replicas = [
+            self._reach(p, self.network.replica_address(place.region, p)) for p in self.layout.replicas
+        ]
+        setup = HollowSetup(
+            gateways=list(place.gateways),
+            region=place.region,
+            replicas=replicas,
+            touch_ms=self.options.touch_ms,
+            drift_ms=drift_ms(self.options),
+            seed=self.options.seed * 1000 + number,
+            early=place.gateways[:1] if self.options.planted == "early-version" and number == 0 else (),
+        )
+        file = self.folder / f"{place.name}.json"
+        file.write_text(json.dumps(asdict(setup)), encoding="utf-8")
+
+        def heard(report: Report) -> None:
+            self._heard(place.name, report)
+
+        return HollowChild(
+            place.name, ["-m", "stackrouter.fleet.scale.hollow", str(file)], self.folder, heard
+        )
+
+    def _reach(self, place: ReplicaPlace, address: str) -> Reach:
+        return Reach(place.name, address, place.region)
--- a/stackrouter/fleet/scale/judge.py
+++ b/stackrouter/fleet/scale/judge.py
@@ -19,6 +19,7 @@
 from stackrouter.fleet.scale.options import DRIFT_PART, ELECTION_MS, ScaleOptions
 
 IN_FORCE_MS = 7000.0  # stated for the fleet
+SILENCE_MS = 3000.0  # after so long without an answer to its heartbeats a gateway gives its replica up
 CONNECT_AGAIN_MS = 1000.0  # backoff, connection and snapshot of a gateway that goes to another replica
 ELECTIONS = 2  # the first one may end with a split vote
 DIGEST_LETTERS = 12  # of a digest, as admin sockets and logs tell it
@@ -38,7 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """A gateway has taken this version or list."""
+    """A gateway has taken this version or list. `digest`: empty where the gateway does not tell it, here and
+    below."""
 
     gateway: str
     kind: ChangeKind
@@ -116,10 +118,10 @@
 def in_force_bound_ms(options: ScaleOptions) -> float:
     """How long a change may take. Without faults the stated time. With faults, a change may be handed in just
     before a replica fails: a leader has to be elected (twice, where the first vote is split), and a gateway
-    notices a silent replica only when its heartbeat is no longer valid, and goes to another one."""
+    gives a silent replica up only after a while, and goes to another one."""
     if not options.faults:
         return IN_FORCE_MS
-    return IN_FORCE_MS + ELECTIONS * ELECTION_MS + options.validity_ms + CONNECT_AGAIN_MS
+    return IN_FORCE_MS + ELECTIONS * ELECTION_MS + SILENCE_MS + CONNECT_AGAIN_MS
 
 
 def judge(history: History, options: ScaleOptions) -> ScaleVerdict:
@@ -216,12 +218,12 @@
     def wrong(served: Served) -> bool:
         if served.version == 0:
             return False  # each gateway's own file: no policy was ever committed
-        digest = history.committed.get(served.version, "")[:DIGEST_LETTERS]
-        early = served.since < handed_in.get(served.version, served.since) + delay
-        known = served.version in handed_in
-        return (
-            digest != served.digest[:DIGEST_LETTERS] or served.version > history.active or (known and early)
-        )
+        if served.version not in history.committed or served.version > history.active:
+            return True
+        if served.digest and not _same(served.digest, history.committed[served.version]):
+            return True
+        at = handed_in.get(served.version)
+        return at is not None and served.since < at + delay
 
     return sum(wrong(served) for served in history.served)
 
@@ -230,12 +232,17 @@
     """Gateways that have not the newest policy and the newest list at the end, or told nothing."""
     final = {state.gateway: state for state in history.final}
     newest = max(history.committed, default=0)
-    digest = history.committed.get(newest, "")[:DIGEST_LETTERS]
+    digest = history.committed.get(newest, "")
 
     def behind(gateway: str) -> bool:
         state = final.get(gateway)
         if state is None or state.nodes_index < history.nodes_index:
             return True
-        return state.version != newest or state.digest[:DIGEST_LETTERS] != digest
+        return state.version != newest or (bool(state.digest) and not _same(state.digest, digest))
 
     return sum(behind(gateway) for gateway in history.gateways)
+
+
+def _same(one: str, other: str) -> bool:
+    """Whether two digests agree, as far as admin sockets tell them."""
+    return one[:DIGEST_LETTERS] == other[:DIGEST_LETTERS]
--- a/stackrouter/fleet/scale/options.py
+++ b/stackrouter/fleet/scale/options.py
@@ -47,6 +47,6 @@
     """How many processes hold the hollow gateways: each belongs to one region, and all regions have as
     many."""
     if options.processes:
-        return max(options.processes, options.regions)
+        return min(options.hollow, max(options.processes, options.regions))
     each_region = -(-options.hollow // (options.regions * gateways_each))
-    return options.regions * max(1, each_region)
+    return min(options.hollow, options.regions * max(1, each_region))
