--- a/stackrouter/fleet/scale/hollow.py
+++ b/stackrouter/fleet/scale/hollow.py
@@ -152,7 +152,7 @@
 
     def take_nodes(self, piece: TakeNodes) -> None:
         """A real gateway takes these nodes. Nothing is kept here but the version of the list."""
-        if piece.last:
+        if piece.last and piece.index != self.nodes_index:
             self.nodes_index = piece.index
             self._report(Taken(self.name, "list", piece.index, "", time.monotonic_ns()))
 
--- a/stackrouter/fleet/scale/reports.py
+++ b/stackrouter/fleet/scale/reports.py
@@ -53,6 +53,8 @@
     for cls in (Taken, Served, FinalState, HollowState, HollowEnd, RestartGateway, EndHollow)
 }
 
+FIELDS = {cls: {field.name for field in fields(cls)} for cls in TYPES.values()}
+
 
 def to_line(message: Report | Order) -> str:
     """Without the end of line."""
@@ -66,7 +68,7 @@
     except ValueError:
         return None
     cls = TYPES.get(raw.pop("type", "")) if isinstance(raw, dict) else None
-    if cls is None or set(raw) != {field.name for field in fields(cls)}:
+    if cls is None or raw.keys() != FIELDS[cls]:
         return None
     message: Report | Order = cls(**raw)
     return message
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -31,6 +31,8 @@
     clock_rate,
     draw,
 )
+from stackrouter.fleet.scale.prediction import QUANTITIES, compare, predict, predict_all
+from stackrouter.fleet.scale.reports import EndHollow, RestartGateway, from_line, to_line
 
 S = 1_000_000_000  # nanoseconds
 MACHINE = MachineLimits(descriptors=20_000, memory_mib=24_000, free_mib=22_000, outgoing_ports=28_000)
@@ -221,3 +223,51 @@
         self.assertIsNone(lateness_p99(Counter()))
         self.assertEqual(lateness_p99(Counter({0: 98, 5: 1, 40: 1})), 5)
         self.assertEqual(lateness_p99(Counter({0: 97, 5: 1, 40: 2})), 40)
+
+
+class Predictions(unittest.TestCase):
+    def test_a_power_and_a_line_are_found_again(self) -> None:
+        for name, measured in (
+            ("power", {n: 3.0 * n**0.8 for n in (100, 300, 1000, 3000)}),
+            ("line", {n: 50 + 0.02 * n for n in (100, 300, 1000, 3000)}),
+        ):
+            with self.subTest(name):
+                found = predict("x", 7800, measured)
+                assert found is not None
+                if name == "power":
+                    self.assertAlmostEqual(found.exponent, 0.8)
+                    self.assertAlmostEqual(found.by_power, 3.0 * 7800**0.8)
+                else:
+                    self.assertAlmostEqual(found.slope, 0.02)
+                    self.assertAlmostEqual(found.by_line, 206)
+
+    def test_sizes_beyond_the_fit_and_too_few_runs_do_not_count(self) -> None:
+        measured = {100: 1.0, 300: 1.0, 1000: 1.0, 7800: 99.0}
+        found = predict("x", 7800, measured)
+        assert found is not None
+        self.assertEqual((found.sizes, round(found.by_power, 6)), ((100, 300, 1000), 1.0))
+        self.assertIsNone(predict("x", 7800, {100: 1.0, 7800: 99.0}))
+
+    def test_the_error_is_a_part_of_what_was_measured(self) -> None:
+        found = predict("x", 7800, {100: 2.0, 300: 2.0, 1000: 2.0})
+        assert found is not None
+        self.assertAlmostEqual(compare(found, 4.0).power_error, -0.5)
+
+    def test_all_quantities_are_predicted_from_runs_of_several_sizes(self) -> None:
+        runs = [{"hollow": n, **{name: float(n) for name in QUANTITIES}} for n in (100, 300, 1000)]
+        self.assertEqual([p.quantity for p in predict_all(3000, runs)], list(QUANTITIES))
+
+
+class Reports(unittest.TestCase):
+    def test_a_line_is_read_as_it_was_written_and_others_are_passed_over(self) -> None:
+        for message in (Taken("h1", "list", 7, "", 12), RestartGateway("h1"), EndHollow()):
+            self.assertEqual(from_line(to_line(message)), message)
+        for line in (
+            "",
+            "[]",
+            "Traceback",
+            '{"type":"Taken"}',
+            '{"type":"Other"}',
+            to_line(EndHollow())[:-1],
+        ):
+            self.assertIsNone(from_line(line), line)
