--- a/stackrouter/fleet/scale/limits.py
+++ b/stackrouter/fleet/scale/limits.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from stackrouter.edge.config import ReplicaLimits
 from stackrouter.errors import ScaleLimitError
 from stackrouter.fleet.scale.options import ScaleOptions, hollow_processes
 
@@ -75,6 +76,10 @@
             f"{need.processes} are needed, {MOST_PROCESSES} allowed: lower --processes, --real or --control"
         )
         raise ScaleLimitError(what, key="processes")
+    gateways, left = options.hollow + options.real, max(1, options.control - 1)
+    if gateways > left * ReplicaLimits().gateways:
+        what = f"{gateways} gateways are more than {left} of them take (one may be gone): raise --control"
+        raise ScaleLimitError(what, key="replicas")
     if need.descriptors > machine.descriptors:
         what = (
             f"{need.descriptors} are needed in one process, {machine.descriptors} allowed:"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -109,6 +109,12 @@
             refuse_beyond(ScaleOptions(hollow=400, processes=400), MACHINE)
         self.assertIn("--processes", str(caught.exception))
 
+    def test_more_gateways_than_the_replicas_take_with_one_gone_are_refused(self) -> None:
+        refuse_beyond(ScaleOptions(hollow=3990, control=3), MACHINE)
+        with self.assertRaises(ScaleLimitError) as caught:
+            refuse_beyond(ScaleOptions(hollow=4000, control=3), MACHINE)
+        self.assertIn("--control", str(caught.exception))
+
     def test_needs_grow_with_the_gateways(self) -> None:
         small, large = needs(ScaleOptions(hollow=100)), needs(ScaleOptions(hollow=3000))
         self.assertLess(small.memory_mib, large.memory_mib)
