--- a/stackrouter/cli/scale.py
+++ b/stackrouter/cli/scale.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import tempfile
 from dataclasses import asdict
 from pathlib import Path
@@ -41,6 +42,8 @@
         raise OptionError(f"must be more than --touch-ms ({touch_ms}), not {after_ms}", key="--after-ms")
     options = ScaleOptions(hollow, real, control, regions, seed, seconds, faults == "all", nodes, touch_ms,
                            after_ms, processes, planted)  # fmt: skip
+    # SIGTERM as Ctrl-C: the processes that were started are ended on the way out.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with tempfile.TemporaryDirectory(prefix="stackrouter-scale-") as scratch:
         folder = logs or Path(scratch)
         folder.mkdir(parents=True, exist_ok=True)
--- a/stackrouter/fleet/scale/hollow.py
+++ b/stackrouter/fleet/scale/hollow.py
@@ -109,7 +109,6 @@
         self._rng = Random(f"{setup.seed}/{name}")
         self._clock = gateway_clock(self._rng)
         self._interval: _Interval | None = None
-        self.bytes_in = self.bytes_out = 0  # of the lives that have ended
         self.client = self._new_client()
 
     def start(self) -> None:
@@ -188,9 +187,6 @@
     def _end_life(self) -> None:
         self.client.stop()
         self._close_interval()
-        figures = self.client.figures()
-        self.bytes_in += figures.bytes_in
-        self.bytes_out += figures.bytes_out
 
 
 @dataclass(slots=True)
@@ -262,9 +258,7 @@
         for gateway in gateways:
             self._report(gateway.stop())
         late_ms = {str(ms): count for ms, count in self._lateness.by_ms.items()}
-        bytes_in = sum(gateway.bytes_in for gateway in gateways)
-        bytes_out = sum(gateway.bytes_out for gateway in gateways)
-        self._report(HollowEnd(late_ms, bytes_in, bytes_out))
+        self._report(HollowEnd(late_ms))
         self._flush()
 
 
--- a/stackrouter/fleet/scale/observation.py
+++ b/stackrouter/fleet/scale/observation.py
@@ -73,7 +73,6 @@
     reals: list[RealGateway] = field(default_factory=list)
     late_ms: Counter[int] = field(default_factory=Counter)
     lateness: Lateness = field(default_factory=Lateness)
-    hollow_bytes: int = 0
     _out: dict[str, int] = field(default_factory=dict)  # by gateway that cannot be reached: since when
 
     def heard(self, process: str, report: Report) -> None:
@@ -89,7 +88,6 @@
                 self.states[process] = report
             case HollowEnd():
                 self.late_ms.update({int(ms): count for ms, count in report.late_ms.items()})
-                self.hollow_bytes += report.bytes_in + report.bytes_out
 
     def handed_in(self, kind: ChangeKind, number: int, digest: str, at: int) -> None:
         """A change was handed in at `at`, and is known to be committed (a policy) or told (a list)."""
--- a/stackrouter/fleet/scale/reports.py
+++ b/stackrouter/fleet/scale/reports.py
@@ -30,8 +30,6 @@
     """The last line of a process. `late_ms`: how often its loop was woken so many milliseconds late."""
 
     late_ms: dict[str, int]
-    bytes_in: int
-    bytes_out: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,6 +19,7 @@
     in_force_bound_ms,
     judge,
 )
+from stackrouter.fleet.scale.layout import lay_out
 from stackrouter.fleet.scale.limits import MachineLimits, needs, refuse_beyond
 from stackrouter.fleet.scale.measure import lateness_p99
 from stackrouter.fleet.scale.options import DRIFT_PART, ScaleOptions, hollow_processes
@@ -126,6 +127,21 @@
         self.assertEqual(hollow_processes(ScaleOptions(processes=7, regions=5)), 7)
 
 
+class Layouts(unittest.TestCase):
+    def test_voters_are_spread_over_the_regions_and_each_process_is_in_one(self) -> None:
+        layout = lay_out(ScaleOptions(hollow=1000, real=5, control=8, regions=5))
+        voters = [place for place in layout.replicas if place.votes]
+        self.assertEqual({place.region for place in voters}, set(layout.regions))
+        self.assertEqual([place.votes for place in layout.replicas], [True] * 5 + [False] * 3)
+        names = layout.gateways
+        self.assertEqual((len(names), len(set(names))), (1005, 1005))
+        in_regions = [len(layout.gateways_in(region)) for region in layout.regions]
+        self.assertEqual((sum(in_regions), max(in_regions) - min(in_regions)), (1005, 0))
+
+    def test_an_even_number_of_replicas_has_one_that_does_not_vote(self) -> None:
+        self.assertEqual([ScaleOptions(control=n).voters for n in (1, 2, 3, 4, 5, 8)], [1, 1, 3, 3, 5, 5])
+
+
 def history() -> History:
     """Two gateways, one version handed in at 10 s and in force at both by 14 s, one list."""
     return History(
