--- a/stackrouter/fleet/scale/plan.py
+++ b/stackrouter/fleet/scale/plan.py
@@ -84,15 +84,18 @@
 
 def draw(options: ScaleOptions) -> ScalePlan:
     """The plan of a run with these options."""
-    rng = Random(f"{options.seed}/{options.hollow}/{options.control}/{options.regions}/scale")
-    scaled = RESTARTS_A_DAY * options.hollow / RESTARTS_GATEWAYS
+    # The changes are the same at all sizes, so that what sizes cost can be compared.
+    rng = Random(f"{options.seed}/changes")
     steps: list[Step] = [
         PolicyChange(at) for at in _times(rng, options, POLICY_CHANGES_A_DAY, LEAST_POLICY_CHANGES)
     ]
     for at in _times(rng, options, LIST_CHANGES_A_DAY, LEAST_LIST_CHANGES):
         steps.append(ListChange(at, rng.randrange(options.nodes)))
+    rng = Random(f"{options.seed}/{options.hollow}/restarts")
+    scaled = RESTARTS_A_DAY * options.hollow / RESTARTS_GATEWAYS
     for at in _times(rng, options, scaled, LEAST_RESTARTS):
         steps.append(Restart(at, rng.randrange(options.hollow)))
+    rng = Random(f"{options.seed}/{options.control}/{options.regions}/faults")
     faults = _faults(rng, options) if options.faults else []
     steps += faults
     ends_us = max(
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -45,6 +45,11 @@
         self.assertEqual(draw(options), draw(options))
         self.assertNotEqual(draw(options), draw(replace(options, seed=2)))
 
+    def test_the_changes_are_the_same_at_all_sizes(self) -> None:
+        small, large = (draw(ScaleOptions(hollow=n, control=c)) for n, c in ((100, 3), (7800, 8)))
+        for kind in (PolicyChange, ListChange):
+            self.assertEqual(small.of(kind), large.of(kind))
+
     def test_changes_and_restarts_come_at_ten_times_the_stated_rates(self) -> None:
         seconds = 3600.0
         plan = draw(ScaleOptions(hollow=7800, seconds=seconds))
