--- a/benchmarks/scale_sweep.py
+++ b/benchmarks/scale_sweep.py
@@ -28,6 +28,7 @@
 
 ROOT = Path(__file__).parent.parent
 LIMIT_S = 330.0  # of one run
+SIZE = "size"  # purpose of the runs that others are predicted from
 Entry = dict[str, Any]
 
 
@@ -51,7 +52,7 @@
 
     def sizes(self) -> list[Entry]:
         """Runs of one size each that ended, without faults."""
-        return [e for e in self.entries if e["purpose"] == "size" and "hollow" in e and not e.get("faults")]
+        return [e for e in self.entries if e["purpose"] == SIZE and "hollow" in e and not e.get("faults")]
 
 
 def machine() -> Entry:
@@ -83,15 +84,15 @@
     return entry | json.loads(told.splitlines()[-1])
 
 
-def sweep(file: ScaleFile, sizes: list[int], common: list[str]) -> bool:
+def sweep(file: ScaleFile, sizes: list[int], purpose: str, common: list[str]) -> bool:
     """Each size once; whether all hold."""
     holds = True
     for size in sizes:
-        predictions = predict_all(size, file.sizes()) if size > LARGEST_FITTED else []
+        predictions = predict_all(size, file.sizes()) if purpose == SIZE and size > LARGEST_FITTED else []
         if predictions:
             predicted = {p.quantity: asdict(p) for p in predictions}
             file.put({"purpose": "prediction", "at": size, **machine(), "predicted": predicted})
-        entry = run("size", ["--hollow", str(size), *common])
+        entry = run(purpose, ["--hollow", str(size), *common])
         if "hollow" in entry and predictions:
             entry["compared"] = {p.quantity: asdict(compare(p, entry[p.quantity])) for p in predictions}
         file.put(entry)
@@ -135,13 +136,16 @@
     parser.add_argument("--regions", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=1000)
+    parser.add_argument(
+        "--purpose", default=SIZE, help="of the runs of --sizes; predictions are made of `size`"
+    )
     asked = parser.parse_args()
     common = ["--real", str(asked.real), "--control", str(asked.control), "--regions", str(asked.regions),
               "--seconds", str(asked.seconds), "--nodes", str(asked.nodes)]  # fmt: skip
     file = ScaleFile(asked.file)
     holds = True
     if asked.sizes:
-        holds = sweep(file, [int(size) for size in asked.sizes.split(",")], common)
+        holds = sweep(file, [int(size) for size in asked.sizes.split(",")], asked.purpose, common)
     if asked.seeds:
         first, _, last = asked.seeds.partition("-")
         numbers = list(range(int(first), int(last or first) + 1))
