--- a/stackrouter/fleet/scale/observation.py
+++ b/stackrouter/fleet/scale/observation.py
@@ -121,6 +121,11 @@
         )
         return hollow and least and reals
 
+    def how_far(self) -> str:
+        """How many gateways are ready, for errors."""
+        hollow = sum(state.ready for state in self.states.values())
+        return f"{hollow} hollow and {sum(real.ready for real in self.reals)} real ones are"
+
     def watch_reals(self) -> None:
         """Look at the real gateways for ever."""
         while True:
--- a/stackrouter/fleet/scale/processes.py
+++ b/stackrouter/fleet/scale/processes.py
@@ -142,13 +142,14 @@
             child.kill()
 
 
-def wait_until(condition: Callable[[], bool], within_s: float, children: Sequence[Child], what: str) -> None:
-    """StartError: a child has ended, or it did not come so in time."""
+def wait_until(condition: Callable[[], bool], within_s: float, children: Sequence[Child],
+               what: Callable[[], str]) -> None:  # fmt: skip
+    """StartError: a child has ended, or it did not come so in time; `what` says how far it came."""
     until = time.monotonic() + within_s
     while not condition():
         for child in children:
             if not child.running:
                 raise StartError(f"{child.name}: {child.last_line()}")
         if time.monotonic() > until:
-            raise StartError(what)
+            raise StartError(what())
         gevent.sleep(POLL_S)
--- a/stackrouter/fleet/scale/run.py
+++ b/stackrouter/fleet/scale/run.py
@@ -61,7 +61,7 @@
         ]
         watchers += [gevent.spawn(observation.watch_reals), gevent.spawn(changes.watch_committed)]
         index = harness.discovery.index
-        harness.start_gateways(lambda: observation.all_have(options.hollow, 0, index))
+        harness.start_gateways(lambda: observation.all_have(options.hollow, 0, index), observation.how_far)
         self._say(began, f"{options.hollow} hollow and {options.real} real gateways are served")
         gevent.sleep(WARM_UP_S)
         before = _reading(harness)
