--- /dev/null
+++ b/stackrouter/capacity/measure/lists.py
@@ -0,0 +1,150 @@
+"""A gateway takes the list of storage nodes, whole and one changed entry, against the number of nodes."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from rackseam.interface import ListKind
+from stackrouter.capacity import targets
+from stackrouter.capacity.measure.process import GatewayProcess, ping
+from stackrouter.errors import MeasureError
+
+TAKEN_S = 20.0  # a list that is not taken within this is an error
+SETTLE_S = 0.4
+PING_EVERY_S = 0.002
+CHANGES = 60
+
+Item = dict[str, Any]
+
+
+def endpoints(nodes: int) -> list[Item]:
+    """Discovery's entries of so many nodes, one shard a node."""
+    return [
+        {"name": f"s-{i:08x}", "address": f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:6379",
+         "zone": f"hall-{'abc'[i % 3]}", "type": "std", "group": i, "status": "up", "weight": 1.0,
+         "since_ms": 0}
+        for i in range(nodes)
+    ]  # fmt: skip
+
+
+def body(index: int, snapshot: bool, items: list[Item]) -> bytes:
+    return json.dumps({"index": index, "snapshot": snapshot, "endpoints": items}).encode()
+
+
+class ListServer:
+    """Discovery: an empty list first, the whole list as the answer to the watch once `go` is set."""
+
+    def __init__(self, whole: bytes) -> None:
+        self.go, self.watched = Event(), Event()
+        self._answers = [body(1, True, []), whole]
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0.1)
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        while sock.recv(4096):
+            if len(self._answers) == 1:
+                self.go.wait()
+            if not self._answers:
+                self.watched.set()  # the watch after the whole list: it has been read
+                Event().wait()
+            answer = self._answers.pop(0)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+
+
+class Pinger:
+    """Asks PING on one connection every `PING_EVERY_S`; `longest_ms`: the longest answer."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.longest_ms, self._sock = 0.0, sock
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        self._greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            began = time.perf_counter()
+            if not ping(self._sock):
+                raise MeasureError("the gateway no longer answers PING")
+            self.longest_ms = max(self.longest_ms, 1000 * (time.perf_counter() - began))
+            gevent.sleep(PING_EVERY_S)
+
+
+def whole(nodes: int) -> dict[str, float]:
+    """A real gateway process is told a whole list while a client asks PING."""
+    told = body(2, True, endpoints(nodes))
+    server = ListServer(told)
+    with GatewayProcess(server.address, gateways=targets.GATEWAYS, nodes=nodes) as gateway:
+        empty_mib = gateway.rss_mib()
+        pinger = Pinger(gateway.connect())
+        gevent.sleep(SETTLE_S)
+        idle_began, idle_ms = time.perf_counter(), gateway.cpu_ms()
+        gevent.sleep(SETTLE_S)
+        pinger.longest_ms = 0.0
+        began, before_ms = time.perf_counter(), gateway.cpu_ms()
+        idle_ms_s = (before_ms - idle_ms) / (began - idle_began)
+        server.go.set()
+        if not server.watched.wait(TAKEN_S):
+            raise MeasureError(f"the list was not taken: {gateway.log()[-200:]}")
+        gevent.sleep(SETTLE_S)
+        spent_ms = gateway.cpu_ms() - before_ms - idle_ms_s * (time.perf_counter() - began)
+        pinger.stop()
+        mib = gateway.rss_mib()
+    server.stop()
+    return {
+        "gateway.list.bytes": len(told) / 1024,
+        "gateway.list.whole_cpu": spent_ms,
+        "gateway.list.longest_hold": pinger.longest_ms,
+        "gateway.memory.nodes": mib,
+        "gateway.memory.list": mib - empty_mib,
+    }
+
+
+def change(nodes: int) -> dict[str, float]:
+    """Engine, decision module and reading of the list without sockets: one entry changes, again and again."""
+    from rackseam.interface import Plan, RequestClass, Settings
+    from stackrouter.core.counters import Counters
+    from stackrouter.core.engine import Engine, clock_us
+    from stackrouter.net.discovery import Discovery, Listing
+
+    settings = Settings(
+        classes=(RequestClass(aim_us=400_000, deadline_us=2_000_000),), plans=(Plan(),),
+        gateways=targets.GATEWAYS, cold_share=0.17, cold_us=16_000_000, cold_bears_units=14.0,
+        fall_us=3_000_000, tip_multiple=3.0,
+    )  # fmt: skip
+    engine = Engine(settings, 1000, Counters())
+    listing = Listing(["hall-a", "hall-b", "hall-c"], ["std"], clock_us())
+    discovery = Discovery(("127.0.0.1", 1), listing, Counters(), engine.listed, known=0, pushed=True)
+
+    def settled() -> None:
+        while not engine.idle():
+            engine.turn()
+
+    items = endpoints(nodes)
+    version, _, entries, addresses = listing.read({"index": 1, "snapshot": True, "endpoints": items})
+    engine.listed(ListKind.FULL, version, entries, addresses)
+    settled()
+    longest, began = 0.0, time.process_time()
+    for n in range(CHANGES):
+        item = items[n * nodes // CHANGES]
+        item["status"] = "up" if item["status"] == "draining" else "draining"
+        read = json.loads(body(n + 2, False, [item]))
+        one = time.perf_counter()
+        discovery.follow(read)
+        settled()
+        longest = max(longest, time.perf_counter() - one)
+    spent = time.process_time() - began
+    if len(engine.nodes) != nodes:
+        raise MeasureError(f"{len(engine.nodes)} nodes are known, not {nodes}")
+    return {"gateway.list.change_cpu": 1000 * spent / CHANGES, "gateway.list.change_hold": 1000 * longest}
--- /dev/null
+++ b/stackrouter/capacity/slopes.py
@@ -0,0 +1,113 @@
+"""The file of measured series, docs/capacity/slopes.json: its types, reading and writing.
+
+A series is one quantity measured at several sizes of one dimension. Every raw value is kept; fits are made
+from the medians (`fit.py`) and are never stored.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+from annotated_types import Ge, Gt, MinLen
+from pydantic import TypeAdapter, ValidationError
+
+from stackrouter.errors import CapacityFileError, OutputError
+
+LEAST_SIZES = 4  # a fit over fewer says nothing of its shape
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """All values that were measured at one size."""
+
+    size: Annotated[float, Gt(0)]
+    values: Annotated[tuple[float, ...], MinLen(1)]
+
+    @property
+    def median(self) -> float:
+        return statistics.median(self.values)
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """One quantity in `unit` against the number of `against`; `fixed`: the same at all sizes."""
+
+    name: str
+    role: str
+    what: str
+    unit: str
+    against: str
+    points: Annotated[tuple[Point, ...], MinLen(LEAST_SIZES)]
+    fixed: Mapping[str, float | str]
+
+    @property
+    def sizes(self) -> tuple[float, ...]:
+        return tuple(point.size for point in self.points)
+
+    @property
+    def medians(self) -> tuple[float, ...]:
+        return tuple(point.median for point in self.points)
+
+    @property
+    def largest(self) -> Point:
+        return max(self.points, key=lambda point: point.size)
+
+    def at(self, size: float) -> float | None:
+        """The median at a size that was measured."""
+        return next((point.median for point in self.points if point.size == size), None)
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """Where and on which program the series were measured."""
+
+    cores: Annotated[int, Ge(1)]
+    python: str
+    system: str
+    commit: str
+    date: str
+
+
+@dataclass(frozen=True, slots=True)
+class Slopes:
+    """One run of `stackrouter bench capacity`."""
+
+    machine: Machine
+    series: tuple[Series, ...]
+
+    def named(self, name: str) -> Series | None:
+        return next((series for series in self.series if series.name == name), None)
+
+
+_ADAPTER: TypeAdapter[Slopes] = TypeAdapter(Slopes)
+
+
+def read(path: Path) -> Slopes:
+    """The file's series; CapacityFileError names the file and the key that is wrong."""
+    try:
+        slopes = _ADAPTER.validate_json(path.read_bytes())
+    except OSError as error:
+        raise CapacityFileError(error.strerror, file=path) from None
+    except ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"])
+        raise CapacityFileError(first["msg"], file=path, key=key) from None
+    names = [series.name for series in slopes.series]
+    for name in names:
+        if names.count(name) > 1:
+            raise CapacityFileError("is there twice", file=path, key=name)
+    return slopes
+
+
+def write(path: Path, slopes: Slopes) -> None:
+    """Write the file whole; OutputError where that is not possible."""
+    data = _ADAPTER.dump_json(slopes, indent=1) + b"\n"
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_bytes(data)
+    except OSError as error:
+        raise OutputError(error.strerror, file=path) from None
--- a/stackrouter/cli/bench.py
+++ b/stackrouter/cli/bench.py
@@ -1,4 +1,4 @@
-"""`bench accounts`: what the sketch and the accounts cost, against plain dicts."""
+"""`bench accounts`: the sketch against plain dicts; `bench capacity`: how costs grow with size, and its page."""
 
 from __future__ import annotations
 
@@ -8,12 +8,14 @@
 import tracemalloc
 from collections import Counter
 from collections.abc import Callable, Iterator
+from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 from rich.table import Table
 
 from stackrouter.cli.shared import AsJson, bar, out, print_json
+from stackrouter.errors import OptionError
 
 app = typer.Typer(no_args_is_help=True, help="Measurements of parts.")
 
@@ -129,3 +131,40 @@
             f"{r['worst_of_top_10']:.2%}",
         )
     out.print(table_)
+
+
+SLOPES = Path("docs/capacity/slopes.json")
+
+
+@app.command()
+def capacity(
+    file: Annotated[Path, typer.Option(help="Write the series here, as JSON.")] = SLOPES,
+    only: Annotated[
+        list[str] | None, typer.Option(help="Measure just this, by its name; may be given more than once.")
+    ] = None,
+) -> None:
+    """Measure how the costs of each role grow, each quantity at four sizes or more; some minutes."""
+    from stackrouter.capacity import slopes
+    from stackrouter.capacity.measure.plan import MEASUREMENTS
+    from stackrouter.capacity.measure.run import measure
+
+    known = {measurement.name: measurement for measurement in MEASUREMENTS}
+    for name in only or ():
+        if name not in known:
+            raise OptionError(f"must be of {', '.join(known)}, not {name!r}", key="--only")
+    chosen = [known[name] for name in only] if only else MEASUREMENTS
+    with bar("measuring", 1.0) as progress:
+        measured = measure(chosen, progress.at)
+    slopes.write(file, measured)
+    out.print(f"{len(measured.series)} series written to {file}")
+
+
+@app.command("capacity-page")
+def capacity_page(
+    folder: Annotated[Path, typer.Option(help="Where slopes.json and scale.json lie.")] = SLOPES.parent,
+    file: Annotated[Path, typer.Option(help="Write the page here.")] = Path("docs/CAPACITY.md"),
+) -> None:
+    """Write the capacity page and its plot from the measured figures, and nothing else."""
+    from stackrouter.capacity.page import write_page
+
+    write_page(folder, file)
--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -473,6 +473,22 @@
     """A file cannot be written."""
 
 
+class CapacityFileError(
+    InputError,
+    code="SR-INPUT-CAPACITY",
+    do="Make it anew with `stackrouter bench capacity` or `stackrouter fleet scale`.",
+):
+    """A file under docs/capacity cannot be read, or a key of it holds what it may not."""
+
+
+class MeasureError(
+    InputError,
+    code="SR-INPUT-MEASURE",
+    do="Run it again while nothing else is busy; `--only NAME` runs one measurement by itself.",
+):
+    """A measurement of `stackrouter bench capacity` ended without its figures, so nothing was written."""
+
+
 class MixedTracesError(
     InputError, code="SR-INPUT-TRACES", do="Report on traces of one deployment at a time."
 ):
