--- a/stackrouter/capacity/measure/requests.py
+++ b/stackrouter/capacity/measure/requests.py
@@ -53,8 +53,8 @@
     def _ask_one(self, volume: int) -> None:
         self._engine.submit(Request(
             request_class=0, plan=0, volume=f"{volume:016x}", units=2.0,
-            shard=self._random.randrange(self._shards), gateways=1, key="", deadline_us=clock_us() + 2_000_000,
-            exchange=self._no_exchange,
+            shard=self._random.randrange(self._shards), gateways=1, key="",
+            deadline_us=clock_us() + 2_000_000, exchange=self._no_exchange,
             answer=self._answer, wire="x",
         ))  # fmt: skip
         while not self._engine.idle():
--- a/stackrouter/capacity/measure/run.py
+++ b/stackrouter/capacity/measure/run.py
@@ -30,6 +30,7 @@
 
 def measure(measurements: Sequence[Measurement], progress: Callable[[float], None]) -> Slopes:
     """All series of these measurements; MeasureError names the point that ended without its figures."""
+    here = machine()  # before the first point: what was measured is the commit that it began with
     points = sum(len(m.sizes) * m.repeats for m in measurements)
     done = 0
     series: list[Series] = []
@@ -42,7 +43,7 @@
                 done += 1
                 progress(done / points)
         series += _series(measurement, values)
-    return Slopes(machine(), tuple(series))
+    return Slopes(here, tuple(series))
 
 
 def _series(measurement: Measurement, values: dict[str, dict[int, list[float]]]) -> list[Series]:
--- a/stackrouter/cli/bench.py
+++ b/stackrouter/cli/bench.py
@@ -1,4 +1,4 @@
-"""`bench accounts`: the sketch against plain dicts; `bench capacity`: how costs grow with size, and its page."""
+"""`bench accounts`: the sketch against plain dicts; `bench capacity`: how costs grow, and its page."""
 
 from __future__ import annotations
 
