--- a/stackrouter/capacity/measure/lists.py
+++ b/stackrouter/capacity/measure/lists.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import time
 from typing import Any
 
@@ -20,16 +21,19 @@
 SETTLE_S = 0.4
 PING_EVERY_S = 0.002
 CHANGES = 60
+WARM_MS = 86_400_000  # nodes started a day ago or earlier
 
 Item = dict[str, Any]
 
 
 def endpoints(nodes: int) -> list[Item]:
-    """Discovery's entries of so many nodes, one shard a node."""
+    """Discovery's entries of so many nodes, one shard a node, warm; names and addresses at random."""
+    rng, now_ms = random.Random(7), time.time_ns() // 1_000_000
     return [
-        {"name": f"s-{i:08x}", "address": f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:6379",
+        {"name": f"s-{rng.getrandbits(32):08x}",
+         "address": f"10.{rng.randrange(256)}.{rng.randrange(256)}.{i % 256}:{rng.randrange(7000, 8000)}",
          "zone": f"hall-{'abc'[i % 3]}", "type": "std", "group": i, "status": "up", "weight": 1.0,
-         "since_ms": 0}
+         "since_ms": now_ms - rng.randrange(WARM_MS, 30 * WARM_MS)}
         for i in range(nodes)
     ]  # fmt: skip
 
