--- a/stackrouter/capacity/measure/plan.py
+++ b/stackrouter/capacity/measure/plan.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from stackrouter.capacity import targets
-from stackrouter.capacity.measure import connections, lists, nodes, requests
+from stackrouter.capacity.measure import cold, connections, lists, nodes, requests
 
 Task = Callable[[int], dict[str, float]]
 
@@ -101,6 +101,12 @@
         {"process": "python -m stackrouter, loopback", "nodes": connections.NODES,
          "clients": connections.CLIENT_CONNECTIONS},
     ),
+    Measurement(
+        "cold nodes", "storage node", "gateways", (40, 400, 2_000, targets.GATEWAYS), 1, cold.first_sends,
+        (Quantity("module.cold.first_send", "from a node's start to a gateway's first attempt there", "s"),),
+        {"process": "decision module in virtual time", "requests_s": cold.REQUESTS_S,
+         "positions": cold.POSITIONS, "longest_s": cold.LONGEST_S},
+    ),
     Measurement(
         "reuse by nodes", "storage node", "nodes", NODE_SIZES, 1, nodes.against_nodes,
         (
