Render the capacity page from measured series and scale runs

Each figure at the target is taken from its series: as measured there, else by a line, or by a power law where the series is steeper; rows name the source, the extrapolation, the budget and the mechanism, and say 'not measured' without their run.

--- a/stackrouter/capacity/measure/plan.py
+++ b/stackrouter/capacity/measure/plan.py
@@ -31,7 +31,7 @@
     repeats: int
     task: Task
     quantities: tuple[Quantity, ...]
-    fixed: Mapping[str, float | str] = field(default_factory=dict)
+    fixed: Mapping[str, int | float | str] = field(default_factory=dict)
 
 
 NODE_SIZES = (60, 1_000, 4_000, targets.NODES)
--- a/stackrouter/capacity/measure/requests.py
+++ b/stackrouter/capacity/measure/requests.py
@@ -64,7 +64,7 @@
         self.answered += 1
 
     def _no_exchange(self) -> Exchange:
-        raise AssertionError("the transport answers without one")
+        raise MeasureError("the transport answers without one")
 
 
 def engine_with(nodes: int, plan: Plan) -> Engine:
--- /dev/null
+++ b/stackrouter/capacity/page.py
@@ -0,0 +1,155 @@
+"""docs/CAPACITY.md, made from the files under docs/capacity and the program's constants, and nothing else."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import jinja2
+
+from stackrouter.capacity import node_rows, slopes, targets
+from stackrouter.capacity.estimate import number, of_series, predictions
+from stackrouter.capacity.events import events, quorums
+from stackrouter.capacity.gateway_rows import gateway, request_cpu
+from stackrouter.capacity.handoff import OTHER_SEEDS_S, changes_of_primary
+from stackrouter.capacity.load import LIMITS, RULES
+from stackrouter.capacity.parts import rows as part_rows
+from stackrouter.capacity.plot import write_plot
+from stackrouter.capacity.replica_rows import fleet, replica
+from stackrouter.capacity.rows import Row
+from stackrouter.capacity.scale import read_full_mesh, read_scale, with_faults, without_faults
+from stackrouter.capacity.slopes import Slopes
+from stackrouter.errors import OutputError
+
+SLOPES, BEFORE, SCALE, FULL_MESH = "slopes.json", "slopes-before.json", "scale.json", "full-mesh.json"
+PLOT = "slopes.png"
+LIST_SERIES = ("gateway.list.", "gateway.memory.nodes")
+
+
+@dataclass(frozen=True, slots=True)
+class SlopeRow:
+    """One line of the table of slopes; all formatted."""
+
+    name: str
+    what: str
+    against: str
+    sizes: str
+    medians: str
+    intercept: str
+    slope: str
+    exponent: str
+    residual: str
+    missed: str
+    shape: str
+
+
+@dataclass(frozen=True, slots=True)
+class Compared:
+    """A figure of an earlier measurement beside the present one, at the largest size."""
+
+    name: str
+    size: str
+    before: str
+    now: str
+
+
+def render(folder: Path) -> str:
+    """The page from the files of this folder."""
+    measured = slopes.read(folder / SLOPES)
+    runs, mesh = read_scale(folder / SCALE), read_full_mesh(folder / FULL_MESH)
+    before = slopes.read(folder / BEFORE) if (folder / BEFORE).exists() else None
+    roles = {
+        "The fleet": fleet(runs),
+        "A gateway": gateway(measured, runs),
+        "A control replica, one of eight; the leader is one of the five voters": replica(measured, runs),
+        "Discovery and its agent": node_rows.discovery(measured),
+        "A storage node as the gateways load it": node_rows.storage_node(measured),
+    }
+    context: dict[str, Any] = {
+        "targets": targets, "machine": measured.machine, "slopes": slope_rows(measured), "roles": roles,
+        "over": [(role, row) for role, rows in roles.items() for row in rows if row.over],
+        "lacking": [(role, row) for role, rows in roles.items() for row in rows if row.lacks],
+        "runs": without_faults(runs), "fault_runs": with_faults(runs), "predictions": predictions(runs),
+        "mesh": sorted(mesh, key=lambda run: run.members), "events": events(measured, runs),
+        "quorums": quorums(), "handoff": changes_of_primary(runs), "other_seeds": OTHER_SEEDS_S,
+        "parts": part_rows(), "limits": LIMITS, "rules": RULES, "requests_cpu": request_cpu(measured),
+        "before": before, "compared": compared(before, measured) if before else [], "plot": PLOT,
+    }  # fmt: skip
+    return _template().render(context)
+
+
+def write_page(folder: Path, file: Path) -> None:
+    """Write the page, and its plot into the folder."""
+    text = render(folder)
+    write_plot(slopes.read(folder / SLOPES), folder / PLOT)
+    try:
+        file.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise OutputError(error.strerror, file=file) from None
+
+
+def slope_rows(measured: Slopes) -> list[SlopeRow]:
+    """Every series with its fit."""
+    rows = []
+    for series in measured.series:
+        found = of_series(series)
+        rows.append(
+            SlopeRow(
+                series.name, f"{series.what}, {series.unit}", series.against,
+                ", ".join(number(size) for size in series.sizes),
+                ", ".join(number(median) for median in series.medians),
+                number(found.intercept), number(found.slope),
+                "-" if found.exponent is None else f"{found.exponent:.2f}",
+                number(found.residual), f"{found.missed:+.0%}", found.shape.value,
+            )
+        )  # fmt: skip
+    return rows
+
+
+def compared(before: Slopes, measured: Slopes) -> list[Compared]:
+    """What taking a list cost before and costs now, at the largest size."""
+    rows = []
+    for series in measured.series:
+        old = before.named(series.name)
+        if not series.name.startswith(LIST_SERIES) or old is None:
+            continue
+        size = series.largest.size
+        then = old.at(size)
+        if then is not None:
+            now = f"{number(series.largest.median)} {series.unit}"
+            rows.append(
+                Compared(series.name, f"{number(size)} {series.against}", f"{number(then)} {old.unit}", now)
+            )
+    return rows
+
+
+def table(rows: list[Row]) -> str:
+    """Rows of a role as Markdown; over-budget rows are marked."""
+    names = ("what", "at the target", "budget", "from", "extrapolated", "mechanism")
+    head = f"| {' | '.join(names)} |\n{'| --- ' * len(names)}|\n"
+    lines = [
+        f"| {row.what} | {'**' + row.figure + ' OVER**' if row.over else row.figure} | {row.budget} "
+        f"| {row.source} | {row.extrapolated} | {row.mechanism} |"
+        for row in rows
+    ]
+    return head + "\n".join(lines)
+
+
+def _template() -> jinja2.Template:
+    environment = jinja2.Environment(
+        loader=jinja2.PackageLoader("stackrouter.capacity", "templates"),
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+        keep_trailing_newline=True,
+        autoescape=False,
+    )
+    environment.filters["number"] = number
+    environment.filters["role_table"] = table
+    environment.filters["ms"] = _milliseconds
+    return environment.get_template("capacity.md.j2")
+
+
+def _milliseconds(value: float | None) -> str:
+    return "not measured" if value is None else f"{value:,.0f}"
--- /dev/null
+++ b/stackrouter/capacity/scale.py
@@ -0,0 +1,134 @@
+"""The files of whole runs: docs/capacity/scale.json (`fleet scale`) and full-mesh.json (`fleet run`).
+
+Each is an array of the runs' last lines with --json. Only what the page uses is read; further keys are left
+alone. A file that is not there is an array without runs.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+from annotated_types import Ge
+from pydantic import TypeAdapter, ValidationError
+
+from stackrouter.errors import CapacityFileError
+
+Count = Annotated[int, Ge(0)]
+
+
+@dataclass(frozen=True, slots=True)
+class ScaleRun:
+    """One run of `stackrouter fleet scale`: milliseconds, milliseconds of CPU a second, MiB, bytes a second.
+    Figures of a replica are the mean over all; of a gateway the mean over the real ones, control's part."""
+
+    hollow: Count
+    real: Count
+    control: Count
+    changes: Count
+    left_behind: Count
+    uncommitted_served: Count
+    two_versions_ms_max: float
+    gateway_cpu_ms_s: float
+    gateway_rss_mib: float
+    gateway_bytes_s: float
+    control_cpu_ms_s: float
+    control_rss_mib: float
+    control_bytes_s: float
+    log_entries_s: float
+    snapshots: Count
+    faults: Count
+    in_force_ms_p50: float | None = None
+    in_force_ms_p99: float | None = None
+    in_force_ms_max: float | None = None
+    list_in_force_ms_p99: float | None = None
+    list_in_force_ms_max: float | None = None
+    late_ms_p99: float | None = None
+    regions: int = 1
+    seed: int = 0
+    seconds: float = 0.0
+    nodes: int = 0
+    restarts: int = 0
+    control_cpu_ms_s_max: float | None = None
+    control_rss_mib_max: float | None = None
+    faults_by_kind: dict[str, int] = field(default_factory=dict)
+    broken: tuple[str, ...] = ()
+    ok: bool = True
+
+    @property
+    def gateways(self) -> int:
+        return self.hollow + self.real
+
+    @property
+    def gateways_a_replica(self) -> float:
+        return self.gateways / max(1, self.control)
+
+
+@dataclass(frozen=True, slots=True)
+class FullMeshRun:
+    """One run of `stackrouter fleet run`: every gateway is a member of the Raft group. CPU in milliseconds a
+    second of each member over its life, `cpu_steady_ms_s` without its start where the run tells it."""
+
+    members: int
+    failed: int = 0
+    unfinished: int = 0
+    ok: bool = True
+    cpu_ms_s: tuple[float, ...] = ()
+    cpu_steady_ms_s: tuple[float, ...] = ()
+    rss_mib: tuple[float, ...] = ()
+    spread_ms_p99: float | None = None
+    spread_ms_max: float | None = None
+    committed: int = 0
+    aborted: int = 0
+    error: str = ""
+
+    @property
+    def cpu_median(self) -> str:
+        return _median(self.cpu_steady_ms_s or self.cpu_ms_s)
+
+    @property
+    def rss_median(self) -> str:
+        return _median(self.rss_mib)
+
+
+def _median(values: Sequence[float]) -> str:
+    return f"{statistics.median(values):.0f}" if values else "not measured"
+
+
+Run = TypeVar("Run", ScaleRun, FullMeshRun)
+
+
+def read_scale(path: Path) -> tuple[ScaleRun, ...]:
+    """The runs of scale.json; CapacityFileError names the file and the key that is wrong."""
+    return _read(path, TypeAdapter(tuple[ScaleRun, ...]))
+
+
+def read_full_mesh(path: Path) -> tuple[FullMeshRun, ...]:
+    """The runs of full-mesh.json."""
+    return _read(path, TypeAdapter(tuple[FullMeshRun, ...]))
+
+
+def _read(path: Path, adapter: TypeAdapter[tuple[Run, ...]]) -> tuple[Run, ...]:
+    if not path.exists():
+        return ()
+    try:
+        return adapter.validate_json(path.read_bytes())
+    except OSError as error:
+        raise CapacityFileError(error.strerror, file=path) from None
+    except ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"])
+        raise CapacityFileError(first["msg"], file=path, key=key) from None
+
+
+def without_faults(runs: Sequence[ScaleRun]) -> list[ScaleRun]:
+    """The runs without faults, by size; of several at one size the last."""
+    return [run for _, run in sorted({run.gateways: run for run in runs if not run.faults}.items())]
+
+
+def with_faults(runs: Sequence[ScaleRun]) -> list[ScaleRun]:
+    """The runs with faults, by size."""
+    return sorted((run for run in runs if run.faults), key=lambda run: (run.gateways, run.seed))
--- a/stackrouter/capacity/slopes.py
+++ b/stackrouter/capacity/slopes.py
@@ -42,7 +42,7 @@
     unit: str
     against: str
     points: Annotated[tuple[Point, ...], MinLen(LEAST_SIZES)]
-    fixed: Mapping[str, float | str]
+    fixed: Mapping[str, int | float | str]
 
     @property
     def sizes(self) -> tuple[float, ...]:
