--- a/stackrouter/capacity/measure/lists.py
+++ b/stackrouter/capacity/measure/lists.py
@@ -19,6 +19,7 @@
 
 TAKEN_S = 20.0  # a list that is not taken within this is an error
 SETTLE_S = 0.4
+TAKING_S = 1.0  # once it has been read: taking it may go on for a while
 PING_EVERY_S = 0.002
 CHANGES = 60
 WARM_MS = 86_400_000  # nodes started a day ago or earlier
@@ -101,7 +102,7 @@
         server.go.set()
         if not server.watched.wait(TAKEN_S):
             raise MeasureError(f"the list was not taken: {gateway.log()[-200:]}")
-        gevent.sleep(SETTLE_S)
+        gevent.sleep(TAKING_S)
         spent_ms = gateway.cpu_ms() - before_ms - idle_ms_s * (time.perf_counter() - began)
         pinger.stop()
         mib = gateway.rss_mib()
--- a/stackrouter/capacity/measure/plan.py
+++ b/stackrouter/capacity/measure/plan.py
@@ -151,6 +151,7 @@
         (
             Quantity("replica.snapshot.cpu", "making a snapshot, CPU", "ms"),
             Quantity("replica.snapshot.bytes", "a snapshot on the wire", "KiB"),
+            Quantity("replica.start.cpu", "a replica that observes starts from a snapshot, CPU", "ms"),
             Quantity("gateway.snapshot.cpu", "reading a snapshot at a gateway, CPU", "ms"),
             Quantity("gateway.snapshot.hold", "longest single part of that", "ms"),
         ),
--- a/stackrouter/capacity/measure/replica.py
+++ b/stackrouter/capacity/measure/replica.py
@@ -261,8 +261,12 @@
     read_s = time.process_time() - began
     if len(taken) != nodes:
         raise MeasureError(f"{len(taken)} nodes came, not {nodes}")
+    began = time.process_time()
+    ReplicaStateMachine("replica-2", LIMITS).loaded(whole.state(), 1_000_000)
+    start_s = time.process_time() - began
     return {
         "replica.snapshot.cpu": 1000 * made_s,
+        "replica.start.cpu": 1000 * start_s,
         "replica.snapshot.bytes": sum(map(len, frames)) / 1024,
         "gateway.snapshot.cpu": 1000 * read_s,
         "gateway.snapshot.hold": 1000 * longest,
--- a/stackrouter/capacity/replica_rows.py
+++ b/stackrouter/capacity/replica_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from stackrouter.capacity import targets
@@ -91,6 +92,15 @@
             float(LIMITS.most_gateways),
             "",
         ),
+        row(
+            "replicas that have to live for all gateways to be served",
+            reckoned(math.ceil(targets.GATEWAYS / LIMITS.most_gateways), "7,800 / 2,000"),
+            "",
+            BUILT,
+            "",
+            float(targets.REPLICAS),
+            "",
+        ),
         row(
             "heartbeats answered",
             reckoned(PER_REPLICA * HEARTBEATS_S, "gateways / 450 ms"),
@@ -157,6 +167,12 @@
             "ms",
             BUILT,
         ),
+        row(
+            "start of a replica that observes, from such a snapshot",
+            at(slopes, "replica.start.cpu", targets.NODES),
+            "ms",
+            BUILT,
+        ),
         row(
             "a lost zone as one change, CPU for all its gateways",
             at(slopes, "replica.node_changes.cpu", 1_545),
