--- a/stackrouter/capacity/measure/__main__.py
+++ b/stackrouter/capacity/measure/__main__.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import logging
 import sys
 
+from stackrouter.__main__ import GC_THRESHOLD
 from stackrouter.capacity.measure.plan import named
 from stackrouter.errors import StackrouterError
 
 
 def main() -> int:
     logging.disable(logging.INFO)
+    gc.set_threshold(GC_THRESHOLD)  # as a gateway has it
     try:
         print(json.dumps(named(sys.argv[1]).task(int(sys.argv[2]))))
     except StackrouterError as error:
--- a/stackrouter/capacity/measure/replica.py
+++ b/stackrouter/capacity/measure/replica.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import time
 import tracemalloc
 from dataclasses import dataclass, field
@@ -246,6 +247,7 @@
     frames = [made.frame(part) for part in range(made.parts)]
     made_s = time.process_time() - began
     decoder, assembler, whole = FrameDecoder(8 << 20), SnapshotAssembler(), None
+    gc.freeze()  # what stands so far is another process's
     began, longest, taken = time.process_time(), 0.0, list[Node]()
     for data in frames:
         one = time.perf_counter()
