--- a/stackrouter/capacity/estimate.py
+++ b/stackrouter/capacity/estimate.py
@@ -66,6 +66,8 @@
 
 
 def _law(found: Fit) -> str:
+    if found.shape is Shape.FALLS:
+        return f"falls with size: the highest, {number(found.highest)}"
     if found.shape is Shape.STEEPER and found.exponent is not None and found.factor is not None:
         return f"power law {number(found.factor)} * n^{found.exponent:.2f}"
     sign = "+" if found.slope >= 0 else "-"
--- a/stackrouter/capacity/fit.py
+++ b/stackrouter/capacity/fit.py
@@ -20,6 +20,7 @@
     LINE = "line"
     STEEPER = "steeper than a line"
     FLATTER = "flatter than a line"
+    FALLS = "falls with size"
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +28,7 @@
     """`intercept` + `slope` * size; `residual`: root mean square distance of the points from that line, in
     the quantity's unit. `exponent` and `factor`: of factor * size ** exponent, fitted to the logarithms; None
     where a value is not above 0. `missed`: by which part of the largest size's value a line through the
-    others misses it (negative: the line lies below)."""
+    others misses it (negative: the line lies below). `highest`: of the values."""
 
     intercept: float
     slope: float
@@ -35,13 +36,17 @@
     factor: float | None
     exponent: float | None
     missed: float
+    highest: float
     shape: Shape
 
     def line(self, size: float) -> float:
         return self.intercept + self.slope * size
 
     def at(self, size: float) -> float:
-        """The value expected at a size: by the power law where the series is steeper than a line."""
+        """The value expected at a size: by the power law where the series is steeper than a line, the highest
+        of all where it falls, since no cost falls for ever."""
+        if self.shape is Shape.FALLS:
+            return self.highest
         if self.shape is Shape.STEEPER and self.factor is not None and self.exponent is not None:
             return float(self.factor * size**self.exponent)
         return self.line(size)
@@ -59,7 +64,8 @@
         exponent, log_factor = _line(np.log(x), np.log(y))
         factor = math.exp(log_factor)
     missed = _missed(x, y)
-    return Fit(intercept, slope, residual, factor, exponent, missed, _shape(x, y, slope, missed))
+    shape, highest = _shape(x, y, slope, missed), float(np.max(y))
+    return Fit(intercept, slope, residual, factor, exponent, missed, highest, shape)
 
 
 def _line(x: np.ndarray, y: np.ndarray) -> tuple[float, float]:
@@ -81,6 +87,8 @@
     rise = abs(slope) * float(x[-1] - x[0])
     if rise <= FLAT_PART * abs(float(np.mean(y))):
         return Shape.FLAT
+    if slope < 0:
+        return Shape.FALLS
     if abs(missed) <= LINE_ERROR:
         return Shape.LINE
     return Shape.STEEPER if missed < 0 else Shape.FLATTER
--- a/stackrouter/capacity/scale.py
+++ b/stackrouter/capacity/scale.py
@@ -83,6 +83,8 @@
     spread_ms_max: float | None = None
     committed: int = 0
     aborted: int = 0
+    log_entries_s: float | None = None
+    elections: int = 0
     error: str = ""
 
     @property
