--- a/stackrouter/controlplane/process.py
+++ b/stackrouter/controlplane/process.py
@@ -60,6 +60,7 @@
 LEAVE_S = 1.0  # after SIGTERM: for connections to read why they end
 LEAVE_STEP_S = 0.02
 HISTORY_EVERY_S = 0.5
+MOST_UNKNOWN = 512  # a replica's gateways that come back within a second, from regions 100 ms away and more
 GC_THRESHOLD = 10_000  # objects between collections: few are left in cycles, and looking costs
 
 
@@ -67,6 +68,7 @@
     """The state machine's limits, out of the operator's file."""
     return ReplicaLimits(
         most_gateways=configured.gateways,
+        most_unknown=MOST_UNKNOWN,
         most_queued_bytes=configured.queued_kb * 1024,
         snapshots_at_once=configured.snapshots,
         snapshot_bytes_s=configured.snapshot_kb_s * 1024,
@@ -127,7 +129,7 @@
         if call == "status":
             if self._terminated.is_set():
                 return f"FAILURE {StoppingError('stopping').coded()}"
-            if not self.machine.report(boottime_us()).ready:
+            if not self.machine.ready:
                 return f"FAILURE {NotReadyError('no state was confirmed by a majority yet').coded()}"
             return "SUCCESS serving"
         if call == "control status":
@@ -231,7 +233,7 @@
 
     def _begin_history(self) -> None:
         """A new group has none until its leader has set one."""
-        while not self.machine.report(boottime_us()).position.history:
+        while not self.machine.position.history:
             if self._member.term.leader == self.name:
                 self._source.begin_history()
             gevent.sleep(HISTORY_EVERY_S)
