Await a PING behind which each open request stands; let a measurement be taken in parts

A whole run takes over four minutes, so parts of it may be taken one after the other into one file, as long as the commit is the same.

--- a/stackrouter/capacity/measure/connections.py
+++ b/stackrouter/capacity/measure/connections.py
@@ -10,7 +10,7 @@
 from gevent import Greenlet, socket
 
 from stackrouter.capacity import targets
-from stackrouter.capacity.measure.process import GatewayProcess, ping
+from stackrouter.capacity.measure.process import PING, PONG, GatewayProcess, ping
 from stackrouter.errors import MeasureError
 from stackrouter.fronts.platform import resp
 from stackrouter.standins.discovery import StandinDiscovery, entry
@@ -162,8 +162,10 @@
         before_mib = gateway.rss_mib()
         socks = [gateway.connect() for _ in range(count)]
         for number, sock in enumerate(socks, 1):
-            sock.sendall(read_command(number, 0, BUSY_MS))
-        _await_quiet(gateway)
+            sock.sendall(PING + read_command(number, 0, BUSY_MS))
+        for sock in socks:  # the request stood right behind: it is taken with the PING
+            if sock.recv(len(PONG)) != PONG:
+                raise MeasureError("a PING was not answered")
         mib = gateway.rss_mib()
         for sock in socks:
             sock.settimeout(0.0)
@@ -177,20 +179,6 @@
     return {"gateway.memory.clients_busy": mib - before_mib}
 
 
-def _await_quiet(gateway: GatewayProcess) -> None:
-    """Until the process has used next to no CPU for a while: all that was sent has been taken."""
-    quiet_since, spent_ms = time.monotonic(), gateway.cpu_ms()
-    until = time.monotonic() + BUSY_MS / 4000
-    while time.monotonic() - quiet_since < 0.3:
-        gevent.sleep(0.05)
-        now_ms = gateway.cpu_ms()
-        if now_ms - spent_ms > 5.0:
-            quiet_since = time.monotonic()
-        spent_ms = now_ms
-        if time.monotonic() > until:
-            raise MeasureError("the gateway is still busy with what was sent")
-
-
 def _rate(rate_s: int, keepalive_us: int) -> float:
     """CPU ms a second at a steady rate, less what the connections cost without requests."""
     with Installation(CLIENT_CONNECTIONS, keepalive_us=keepalive_us) as installation:
--- a/stackrouter/capacity/slopes.py
+++ b/stackrouter/capacity/slopes.py
@@ -103,6 +103,20 @@
     return slopes
 
 
+def merged(path: Path, newer: Slopes) -> Slopes:
+    """The file's series, these in place of those of the same names; a file has one commit and machine."""
+    older = read(path)
+    for what in ("commit", "cores", "python", "system"):
+        was, now = getattr(older.machine, what), getattr(newer.machine, what)
+        if was != now:
+            raise CapacityFileError(
+                f"was {was} there and is {now} now: measure all", file=path, key=f"machine.{what}"
+            )
+    names = {series.name for series in newer.series}
+    kept = tuple(series for series in older.series if series.name not in names)
+    return Slopes(newer.machine, kept + newer.series)
+
+
 def write(path: Path, slopes: Slopes) -> None:
     """Write the file whole; OutputError where that is not possible."""
     data = _ADAPTER.dump_json(slopes, indent=1) + b"\n"
--- a/stackrouter/cli/bench.py
+++ b/stackrouter/cli/bench.py
@@ -143,7 +143,9 @@
         list[str] | None, typer.Option(help="Measure just this, by its name; may be given more than once.")
     ] = None,
 ) -> None:
-    """Measure how the costs of each role grow, each quantity at four sizes or more; some minutes."""
+    """Measure how the costs of each role grow, each quantity at four sizes or more; some minutes.
+
+    With --only, the other series of a file of the same commit stay."""
     from stackrouter.capacity import slopes
     from stackrouter.capacity.measure.plan import MEASUREMENTS
     from stackrouter.capacity.measure.run import measure
@@ -155,6 +157,8 @@
     chosen = [known[name] for name in only] if only else MEASUREMENTS
     with bar("measuring", 1.0) as progress:
         measured = measure(chosen, progress.at)
+    if only and file.exists():
+        measured = slopes.merged(file, measured)
     slopes.write(file, measured)
     out.print(f"{len(measured.series)} series written to {file}")
 
