--- a/stackrouter/capacity/measure/lists.py
+++ b/stackrouter/capacity/measure/lists.py
@@ -12,7 +12,6 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from rackseam.interface import ListKind
 from stackrouter.capacity import targets
 from stackrouter.capacity.measure.process import GatewayProcess, ping
 from stackrouter.errors import MeasureError
@@ -137,8 +136,7 @@
             engine.turn()
 
     items = endpoints(nodes)
-    version, _, entries, addresses = listing.read({"index": 1, "snapshot": True, "endpoints": items})
-    engine.listed(ListKind.FULL, version, entries, addresses)
+    discovery.follow({"index": 1, "snapshot": True, "endpoints": items})
     settled()
     longest, began = 0.0, time.process_time()
     for n in range(CHANGES):
