--- a/stackrouter/capacity/estimate.py
+++ b/stackrouter/capacity/estimate.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from stackrouter.capacity.fit import Fit, Shape, fit
-from stackrouter.capacity.scale import ScaleRun, without_faults
+from stackrouter.capacity.scale import FullMeshRun, ScaleRun, without_faults
 from stackrouter.capacity.slopes import Series, Slopes
 
 PREDICT_UP_TO = 3_200  # gateways: larger runs are predicted from those up to here, and then compared
@@ -74,6 +74,17 @@
     return f"line {number(found.intercept)} {sign} {number(abs(found.slope))} n"
 
 
+def of_mesh(runs: Sequence[FullMeshRun], pick: Callable[[FullMeshRun], float | None],
+            members: float) -> Estimate | None:  # fmt: skip
+    """A figure of the runs in which every gateway is a member, at a number of members."""
+    points = [(run.members, value) for run in runs if (value := pick(run)) is not None]
+    if len(points) < LEAST_RUNS:
+        return None
+    found = fit([size for size, _ in points], [value for _, value in points])
+    source = f"{len(points)} runs, {_law(found)}"
+    return Estimate(found.at(members), source, members / max(size for size, _ in points))
+
+
 @dataclass(frozen=True, slots=True)
 class Prediction:
     """What the fit over the smaller scale runs says of a larger one, and what that one measured."""
--- a/stackrouter/capacity/page.py
+++ b/stackrouter/capacity/page.py
@@ -16,7 +16,7 @@
 from stackrouter.capacity.load import LIMITS, RULES
 from stackrouter.capacity.parts import rows as part_rows
 from stackrouter.capacity.plot import write_plot
-from stackrouter.capacity.replica_rows import fleet, replica
+from stackrouter.capacity.replica_rows import fleet, full_mesh, most_members, replica
 from stackrouter.capacity.rows import Row
 from stackrouter.capacity.scale import read_full_mesh, read_scale, with_faults, without_faults
 from stackrouter.capacity.slopes import Slopes
@@ -71,7 +71,8 @@
         "over": [(role, row) for role, rows in roles.items() for row in rows if row.over],
         "lacking": [(role, row) for role, rows in roles.items() for row in rows if row.lacks],
         "runs": without_faults(runs), "fault_runs": with_faults(runs), "predictions": predictions(runs),
-        "mesh": sorted(mesh, key=lambda run: run.members), "events": events(measured, runs),
+        "mesh": sorted(mesh, key=lambda run: run.members), "mesh_rows": full_mesh(mesh),
+        "mesh_most": most_members(mesh), "events": events(measured, runs),
         "quorums": quorums(), "handoff": changes_of_primary(runs), "other_seeds": OTHER_SEEDS_S,
         "parts": part_rows(), "limits": LIMITS, "rules": RULES, "requests_cpu": request_cpu(measured),
         "before": before, "compared": compared(before, measured) if before else [], "plot": PLOT,
--- a/stackrouter/capacity/replica_rows.py
+++ b/stackrouter/capacity/replica_rows.py
@@ -6,13 +6,17 @@
 from collections.abc import Sequence
 
 from stackrouter.capacity import targets
-from stackrouter.capacity.estimate import Estimate, Pick, at, number, slope_of
+from stackrouter.capacity.estimate import LEAST_RUNS, Estimate, Pick, at, number, of_mesh, slope_of
+from stackrouter.capacity.fit import fit
 from stackrouter.capacity.load import HEARTBEATS_S, LIMITS, PER_REPLICA
 from stackrouter.capacity.rows import BUILT, PARTLY, Row, at_target, reckoned, row
-from stackrouter.capacity.scale import ScaleRun, with_faults
+from stackrouter.capacity.scale import FullMeshRun, ScaleRun, with_faults
 from stackrouter.capacity.slopes import Slopes
 
 
+CORE_MS_S = 1000.0  # of CPU that one core has
+
+
 def fleet(runs: Sequence[ScaleRun]) -> list[Row]:
     """Time until a change is in force at every gateway, without faults and with them."""
     in_force_ms, replaced_ms = targets.IN_FORCE_S * 1000, targets.REPLACEMENT_S * 1000
@@ -61,6 +65,25 @@
     ]
 
 
+def full_mesh(runs: Sequence[FullMeshRun]) -> list[Row]:
+    """What the design before would cost if every gateway were a member of the Raft group."""
+    gateways = targets.GATEWAYS
+    return [
+        row("log entries", of_mesh(runs, lambda r: r.log_entries_s, gateways), "a second", BUILT),
+        row("CPU of a member, median", of_mesh(runs, lambda r: r.cpu_median, gateways), "ms/s", BUILT),
+        row("CPU of the busiest member", of_mesh(runs, lambda r: r.cpu_highest, gateways), "ms/s", BUILT),
+    ]
+
+
+def most_members(runs: Sequence[FullMeshRun]) -> float | None:
+    """With how many members the busiest one needs a whole core, by the line over the runs."""
+    points = [(run.members, run.cpu_highest) for run in runs if run.cpu_highest is not None]
+    if len(points) < LEAST_RUNS:
+        return None
+    found = fit([members for members, _ in points], [cpu for _, cpu in points])
+    return (CORE_MS_S - found.intercept) / found.slope if found.slope > 0 else None
+
+
 def _worst_with_faults(runs: Sequence[ScaleRun]) -> Estimate | None:
     return _longest_of_any(with_faults(runs), lambda r: r.in_force_ms_max)
 
--- a/stackrouter/capacity/scale.py
+++ b/stackrouter/capacity/scale.py
@@ -85,19 +85,27 @@
     aborted: int = 0
     log_entries_s: float | None = None
     elections: int = 0
-    error: str = ""
+    every_ms: int = 0
+    ttl_ms: int = 0
+    touch_ms: int = 0
 
     @property
-    def cpu_median(self) -> str:
+    def cpu_median(self) -> float | None:
+        """Of all members, without their start where the run tells it."""
         return _median(self.cpu_steady_ms_s or self.cpu_ms_s)
 
     @property
-    def rss_median(self) -> str:
+    def cpu_highest(self) -> float | None:
+        """The busiest member's: the leader's."""
+        return max(self.cpu_steady_ms_s or self.cpu_ms_s, default=None)
+
+    @property
+    def rss_median(self) -> float | None:
         return _median(self.rss_mib)
 
 
-def _median(values: Sequence[float]) -> str:
-    return f"{statistics.median(values):.0f}" if values else "not measured"
+def _median(values: Sequence[float]) -> float | None:
+    return statistics.median(values) if values else None
 
 
 Run = TypeVar("Run", ScaleRun, FullMeshRun)
