--- a/stackrouter/capacity/replica_rows.py
+++ b/stackrouter/capacity/replica_rows.py
@@ -13,7 +13,6 @@
 from stackrouter.capacity.scale import FullMeshRun, ScaleRun, with_faults
 from stackrouter.capacity.slopes import Slopes
 
-
 CORE_MS_S = 1000.0  # of CPU that one core has
 
 
