--- a/stackrouter/capacity/gateway_rows.py
+++ b/stackrouter/capacity/gateway_rows.py
@@ -13,7 +13,7 @@
 from stackrouter.capacity.slopes import Slopes
 from stackrouter.config import CLIENT_PART, SPARE_SOCKETS
 from stackrouter.fronts.platform.client import PATIENCE
-from stackrouter.net.discovery import LARGEST
+from stackrouter.net.discovery import LARGEST_ANSWER_BYTES
 from stackrouter.net.listener import PRESSED_PART
 
 
@@ -93,7 +93,8 @@
         None
         if whole is None
         else reckoned(
-            LARGEST / 1024 / whole.value * targets.NODES, "4 MiB that a gateway reads at most / KiB a node"
+            LARGEST_ANSWER_BYTES / 1024 / whole.value * targets.NODES,
+            "4 MiB that a gateway reads at most / KiB a node",
         )
     )
     budget_kib = targets.BYTES_S / 1024
