--- a/stackrouter/capacity/gateway_rows.py
+++ b/stackrouter/capacity/gateway_rows.py
@@ -193,7 +193,7 @@
             at(slopes, "gateway.list.longest_hold", targets.NODES),
             "ms",
             PARTLY,
-            "a whole list that discovery itself tells is read in one piece; a replica's comes in parts",
+            "the JSON of a whole list from discovery is parsed in one piece; a replica's list comes in parts",
             HOLD_MS,
             "ms",
         ),
--- a/stackrouter/capacity/node_rows.py
+++ b/stackrouter/capacity/node_rows.py
@@ -15,13 +15,18 @@
     whole = at(slopes, "gateway.list.bytes", targets.NODES)
     all_kib = None if whole is None else whole.times(targets.GATEWAYS / 1024 / 1024, "x 7,800 gateways")
     return [
-        row("idle watches, each gateway asks for itself", reckoned(alone_s, "7,800 / 2 s"), "calls/s", BUILT),
+        row(
+            "idle watches, were each gateway to ask for itself",
+            reckoned(alone_s, "7,800 / 2 s"),
+            "calls/s",
+            BUILT,
+        ),
         row(
             "discovery's time for them",
             reckoned(alone_s * CALL_S, "x 0.13 s a call (large-fleet.md)"),
             "s/s",
-            MISSING,
-            "discovery itself is not ours; it answers in turn",
+            BUILT,
+            "one voter asks for all, as the next rows say",
             1.0,
             "s/s",
         ),
