--- a/stackrouter/capacity/page.py
+++ b/stackrouter/capacity/page.py
@@ -18,7 +18,7 @@
 from stackrouter.capacity.plot import write_plot
 from stackrouter.capacity.replica_rows import fleet, full_mesh, most_members, replica
 from stackrouter.capacity.rows import Row
-from stackrouter.capacity.scale import read_full_mesh, read_scale, with_faults, without_faults
+from stackrouter.capacity.scale import groups, read_full_mesh, read_scale, without_faults
 from stackrouter.capacity.slopes import Slopes
 from stackrouter.errors import OutputError
 
@@ -57,7 +57,8 @@
 def render(folder: Path) -> str:
     """The page from the files of this folder."""
     measured = slopes.read(folder / SLOPES)
-    runs, mesh = read_scale(folder / SCALE), read_full_mesh(folder / FULL_MESH)
+    scale, mesh = read_scale(folder / SCALE), read_full_mesh(folder / FULL_MESH)
+    runs = scale.runs
     before = slopes.read(folder / BEFORE) if (folder / BEFORE).exists() else None
     roles = {
         "The fleet": fleet(runs),
@@ -70,7 +71,8 @@
         "targets": targets, "machine": measured.machine, "slopes": slope_rows(measured), "roles": roles,
         "over": [(role, row) for role, rows in roles.items() for row in rows if row.over],
         "lacking": [(role, row) for role, rows in roles.items() for row in rows if row.lacks],
-        "runs": without_faults(runs), "fault_runs": with_faults(runs), "predictions": predictions(runs),
+        "runs": without_faults(runs), "groups": groups(runs), "failed": scale.failed,
+        "predictions": predictions(runs),
         "mesh": sorted(mesh, key=lambda run: run.members), "mesh_rows": full_mesh(mesh),
         "mesh_most": most_members(mesh), "events": events(measured, runs),
         "quorums": quorums(), "handoff": changes_of_primary(runs), "other_seeds": OTHER_SEEDS_S,
--- a/stackrouter/capacity/scale.py
+++ b/stackrouter/capacity/scale.py
@@ -1,7 +1,7 @@
 """The files of whole runs: docs/capacity/scale.json (`fleet scale`) and full-mesh.json (`fleet run`).
 
-Each is an array of the runs' last lines with --json. Only what the page uses is read; further keys are left
-alone. A file that is not there is an array without runs.
+Each is an array of the runs' last lines with --json, scale.json also of runs that did not end. Only what the
+page uses is read; further keys are left alone. A file that is not there is an array without runs.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 from annotated_types import Ge
 from pydantic import TypeAdapter, ValidationError
@@ -18,6 +18,7 @@
 from stackrouter.errors import CapacityFileError
 
 Count = Annotated[int, Ge(0)]
+SIZE = "size"  # purpose of the runs from which larger sizes are predicted
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +58,7 @@
     faults_by_kind: dict[str, int] = field(default_factory=dict)
     broken: tuple[str, ...] = ()
     ok: bool = True
+    purpose: str = SIZE
 
     @property
     def gateways(self) -> int:
@@ -67,6 +69,23 @@
         return self.gateways / max(1, self.control)
 
 
+@dataclass(frozen=True, slots=True)
+class FailedRun:
+    """A scale run that did not end: its command, and what was said."""
+
+    command: str
+    failed: str
+
+
+@dataclass(frozen=True, slots=True)
+class ScaleRuns:
+    """What is in scale.json. Predictions that were written there before a run are left alone: the page
+    makes its own from the runs."""
+
+    runs: tuple[ScaleRun, ...] = ()
+    failed: tuple[FailedRun, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class FullMeshRun:
     """One run of `stackrouter fleet run`: every gateway is a member of the Raft group. CPU in milliseconds a
@@ -108,35 +127,100 @@
     return statistics.median(values) if values else None
 
 
-Run = TypeVar("Run", ScaleRun, FullMeshRun)
+Value = TypeVar("Value")
 
 
-def read_scale(path: Path) -> tuple[ScaleRun, ...]:
+def read_scale(path: Path) -> ScaleRuns:
     """The runs of scale.json; CapacityFileError names the file and the key that is wrong."""
-    return _read(path, TypeAdapter(tuple[ScaleRun, ...]))
+    entries: tuple[dict[str, Any], ...] = _read(path, TypeAdapter(tuple[dict[str, Any], ...]), ())
+    runs: list[ScaleRun] = []
+    failed: list[FailedRun] = []
+    for place, entry in enumerate(entries):
+        if "hollow" in entry:
+            runs.append(_checked(path, TypeAdapter(ScaleRun), entry, place))
+        elif "failed" in entry:
+            failed.append(_checked(path, TypeAdapter(FailedRun), entry, place))
+    return ScaleRuns(tuple(runs), tuple(failed))
 
 
 def read_full_mesh(path: Path) -> tuple[FullMeshRun, ...]:
     """The runs of full-mesh.json."""
-    return _read(path, TypeAdapter(tuple[FullMeshRun, ...]))
+    return _read(path, TypeAdapter(tuple[FullMeshRun, ...]), ())
 
 
-def _read(path: Path, adapter: TypeAdapter[tuple[Run, ...]]) -> tuple[Run, ...]:
+def _read(path: Path, adapter: TypeAdapter[Value], nothing: Value) -> Value:
     if not path.exists():
-        return ()
+        return nothing
     try:
         return adapter.validate_json(path.read_bytes())
     except OSError as error:
         raise CapacityFileError(error.strerror, file=path) from None
     except ValidationError as error:
-        first = error.errors()[0]
-        key = ".".join(str(part) for part in first["loc"])
-        raise CapacityFileError(first["msg"], file=path, key=key) from None
+        raise _wrong(path, error) from None
+
+
+def _checked(path: Path, adapter: TypeAdapter[Value], entry: dict[str, Any], place: int) -> Value:
+    try:
+        return adapter.validate_python(entry)
+    except ValidationError as error:
+        raise _wrong(path, error, str(place)) from None
+
+
+def _wrong(path: Path, error: ValidationError, *place: str) -> CapacityFileError:
+    first = error.errors()[0]
+    key = ".".join([*place, *(str(part) for part in first["loc"])])
+    return CapacityFileError(first["msg"], file=path, key=key)
 
 
 def without_faults(runs: Sequence[ScaleRun]) -> list[ScaleRun]:
-    """The runs without faults, by size; of several at one size the last."""
-    return [run for _, run in sorted({run.gateways: run for run in runs if not run.faults}.items())]
+    """The runs without faults that were made to show a size, by size; of several at one size the last."""
+    sizes = {(run.gateways, run.control): run for run in runs if not run.faults and run.purpose == SIZE}
+    return [run for _, run in sorted(sizes.items())]
+
+
+@dataclass(frozen=True, slots=True)
+class RunGroup:
+    """Runs of one purpose and size, over several seeds or with faults: sums, and the worst of each figure."""
+
+    purpose: str
+    hollow: int
+    control: int
+    runs: int
+    faults: int
+    changes: int
+    in_force_ms_max: float | None
+    two_versions_ms_max: float
+    left_behind: int
+    uncommitted_served: int
+    not_held: tuple[str, ...]
+
+
+def groups(runs: Sequence[ScaleRun]) -> list[RunGroup]:
+    """The runs with faults and those of other purposes, grouped."""
+    found: dict[tuple[str, int, int, bool], list[ScaleRun]] = {}
+    for run in runs:
+        if run.faults or run.purpose != SIZE:
+            found.setdefault((run.purpose, run.hollow, run.control, run.faults > 0), []).append(run)
+    return [_group(key, found[key]) for key in sorted(found)]
+
+
+def _group(key: tuple[str, int, int, bool], runs: Sequence[ScaleRun]) -> RunGroup:
+    purpose, hollow, control, _ = key
+    times = [run.in_force_ms_max for run in runs if run.in_force_ms_max is not None]
+    not_held = tuple(f"seed {run.seed}: {', '.join(run.broken)}" for run in runs if not run.ok)
+    return RunGroup(
+        purpose,
+        hollow,
+        control,
+        len(runs),
+        sum(run.faults for run in runs),
+        sum(run.changes for run in runs),
+        max(times, default=None),
+        max(run.two_versions_ms_max for run in runs),
+        sum(run.left_behind for run in runs),
+        sum(run.uncommitted_served for run in runs),
+        not_held,
+    )
 
 
 def with_faults(runs: Sequence[ScaleRun]) -> list[ScaleRun]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,7 +8,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Any
 
@@ -27,7 +27,7 @@
 from stackrouter.capacity.parts import cold_turns
 from stackrouter.capacity.reuse import IDLE_PART, expected_share, play
 from stackrouter.capacity.rows import BUILT, NOT_MEASURED, at_target, row
-from stackrouter.capacity.scale import ScaleRun, read_full_mesh, read_scale
+from stackrouter.capacity.scale import ScaleRun, ScaleRuns, groups, read_full_mesh, read_scale, without_faults
 from stackrouter.capacity.slopes import Machine, Point, Series, Slopes
 from stackrouter.edge.config import Control
 from stackrouter.errors import CapacityFileError, MeasureError
@@ -152,8 +152,24 @@
         with self.assertRaises(CapacityFileError):
             slopes.read(self.folder / "none.json")
 
+    def test_runs_that_did_not_end_and_predictions_are_told_apart_from_runs(self) -> None:
+        run = {**asdict(scale_run(300)), "further": 1}
+        seeds = [
+            {**run, "purpose": "seeds", "seed": 2, "faults": 4, "ok": False, "broken": ["left_behind"]},
+            run,
+        ]
+        failed = {"command": "stackrouter fleet scale", "failed": "did not start"}
+        (self.folder / SCALE).write_text(json.dumps([run, {"predicted": {}}, failed, *seeds]))
+        told = read_scale(self.folder / SCALE)
+        self.assertEqual([one.hollow for one in told.runs], [300, 300, 300])
+        self.assertEqual([one.failed for one in told.failed], ["did not start"])
+        self.assertEqual(len(without_faults(told.runs)), 1)
+        (group,) = groups(told.runs)
+        self.assertEqual((group.purpose, group.runs, group.faults), ("seeds", 1, 4))
+        self.assertEqual(group.not_held, ("seed 2: left_behind",))
+
     def test_runs_that_are_not_there_are_none_and_bad_ones_are_named(self) -> None:
-        self.assertEqual(read_scale(self.folder / SCALE), ())
+        self.assertEqual(read_scale(self.folder / SCALE), ScaleRuns())
         self.assertEqual(read_full_mesh(self.folder / FULL_MESH), ())
         (self.folder / SCALE).write_text('[{"hollow": -1}]')
         with self.assertRaises(CapacityFileError) as caught:
