--- a/stackrouter/capacity/gateway_rows.py
+++ b/stackrouter/capacity/gateway_rows.py
@@ -32,6 +32,7 @@
     idle = at(slopes, "gateway.memory.clients_idle", CLIENTS)
     busy = slope_of(slopes, "gateway.memory.clients_busy", REQUESTS_S * AIM_S)
     sockets = client_sockets(CLIENTS)
+    listed = at(slopes, "gateway.memory.list", targets.NODES)
     return [
         row(
             "process with the list of 17,000 nodes, no clients",
@@ -41,10 +42,16 @@
         ),
         row("of that, what the list adds", at(slopes, "gateway.memory.list", targets.NODES), "MiB", BUILT),
         row(
-            "control's part, whole processes",
+            "control's part, whole processes, with the runs' own number of nodes",
             at_target(runs, lambda r: r.gateway_rss_mib),
             "MiB",
             BUILT,
+        ),
+        row(
+            "control's part and the list of 17,000 nodes",
+            _with_list(at_target(runs, lambda r: r.gateway_rss_mib), listed),
+            "MiB",
+            BUILT,
             "",
             targets.MEMORY_MB,
             "MB",
@@ -82,6 +89,12 @@
     ]
 
 
+def _with_list(control: Estimate | None, listed: Estimate | None) -> Estimate | None:
+    if control is None or listed is None:
+        return None
+    return Estimate(control.value + listed.value, f"{control.source}; {listed.source}", control.factor)
+
+
 def _gateway_messages(slopes: Slopes, runs: Sequence[ScaleRun]) -> list[Row]:
     whole = at(slopes, "gateway.list.bytes", targets.NODES)
     snapshot = at(slopes, "replica.snapshot.bytes", targets.NODES)
--- a/stackrouter/capacity/scale.py
+++ b/stackrouter/capacity/scale.py
@@ -53,6 +53,7 @@
     seconds: float = 0.0
     nodes: int = 0
     restarts: int = 0
+    never_in_force: int = 0
     control_cpu_ms_s_max: float | None = None
     control_rss_mib_max: float | None = None
     faults_by_kind: dict[str, int] = field(default_factory=dict)
@@ -189,6 +190,7 @@
     faults: int
     changes: int
     in_force_ms_max: float | None
+    never_in_force: int
     two_versions_ms_max: float
     left_behind: int
     uncommitted_served: int
@@ -216,6 +218,7 @@
         sum(run.faults for run in runs),
         sum(run.changes for run in runs),
         max(times, default=None),
+        sum(run.never_in_force for run in runs),
         max(run.two_versions_ms_max for run in runs),
         sum(run.left_behind for run in runs),
         sum(run.uncommitted_served for run in runs),
