--- a/stackrouter/fleet/scale/judge.py
+++ b/stackrouter/fleet/scale/judge.py
@@ -22,6 +22,7 @@
 SILENCE_MS = 3000.0  # after so long without an answer to its heartbeats a gateway gives its replica up
 CONNECT_AGAIN_MS = 1000.0  # backoff, connection and snapshot of a gateway that goes to another replica
 ELECTIONS = 2  # the first one may end with a split vote
+MOST_EXAMPLES = 5
 DIGEST_LETTERS = 12  # of a digest, as admin sockets and logs tell it
 
 ChangeKind = Literal["policy", "list"]
@@ -113,6 +114,7 @@
     two_versions_ms_max: float
     two_versions_bound_ms: float
     broken: tuple[str, ...]
+    uncommitted: tuple[Served, ...]  # some of those that are counted as uncommitted_served
 
 
 def in_force_bound_ms(options: ScaleOptions) -> float:
@@ -131,7 +133,8 @@
     every = [*policy_ms, *list_ms]
     bound = in_force_bound_ms(options)
     two_versions, two_bound = _two_versions_ms(history), options.validity_ms
-    left, uncommitted = _left_behind(history), _uncommitted(history, options)
+    left, wrong = _left_behind(history), _uncommitted(history, options)
+    uncommitted = len(wrong)
     broken = {
         "changes": not history.changes,
         "left_behind": left > 0,
@@ -153,6 +156,7 @@
         two_versions_ms_max=two_versions,
         two_versions_bound_ms=two_bound,
         broken=tuple(name for name, is_broken in broken.items() if is_broken),
+        uncommitted=tuple(wrong[:MOST_EXAMPLES]),
     )
 
 
@@ -208,9 +212,9 @@
     return longest / 1e6
 
 
-def _uncommitted(history: History, options: ScaleOptions) -> int:
-    """Times that a gateway served under a version with other content than was committed, under one that is
-    not active, or before it can have been active: the delay after its commit, by the fastest clock
+def _uncommitted(history: History, options: ScaleOptions) -> list[Served]:
+    """The times that a gateway served under a version with other content than was committed, under one that
+    is not active, or before it can have been active: the delay after its commit, by the fastest clock
     allowed."""
     delay = round(options.after_ms * 1e6 * (1 - DRIFT_PART))
     handed_in = {change.number: change.at for change in history.changes if change.kind == "policy"}
@@ -225,7 +229,7 @@
         at = handed_in.get(served.version)
         return at is not None and served.since < at + delay
 
-    return sum(wrong(served) for served in history.served)
+    return [served for served in history.served if wrong(served)]
 
 
 def _left_behind(history: History) -> int:
--- a/stackrouter/fleet/scale/run.py
+++ b/stackrouter/fleet/scale/run.py
@@ -13,7 +13,7 @@
 from stackrouter.fleet.scale.faults import Faults
 from stackrouter.fleet.scale.figures import Meters, Reading, ScaleFigures, figures
 from stackrouter.fleet.scale.harness import Harness
-from stackrouter.fleet.scale.judge import in_force_bound_ms, judge
+from stackrouter.fleet.scale.judge import History, in_force_bound_ms, judge
 from stackrouter.fleet.scale.layout import lay_out
 from stackrouter.fleet.scale.limits import machine_limits, refuse_beyond
 from stackrouter.fleet.scale.observation import Observation, RealGateway
@@ -78,6 +78,8 @@
         self._end(harness)
         self._say(began, "all have ended")
         verdict = judge(observation.history, options)
+        for served in verdict.uncommitted:
+            self._said(f"uncommitted: {served}; {_told_of(observation.history, served.version)}")
         meters = Meters(
             [child.meter for child in harness.replicas.values()],
             [child.meter for child in harness.reals.values()],
@@ -143,6 +145,14 @@
         self._said(f"{time.monotonic() - began:6.1f} s  {what}")
 
 
+def _told_of(history: History, version: int) -> str:
+    """What is known of a version, for whoever looks into a run that does not hold."""
+    handed_in = [
+        change.at for change in history.changes if (change.kind, change.number) == ("policy", version)
+    ]
+    return f"committed {history.committed.get(version)}, handed in {handed_in}, active {history.active}"
+
+
 def _statuses(harness: Harness) -> list[doors.ReplicaStatus]:
     """Of all replicas that answer."""
     found = [harness.status(name) for name in harness.replicas]
