--- a/stackrouter/capacity/replica_rows.py
+++ b/stackrouter/capacity/replica_rows.py
@@ -9,7 +9,7 @@
 from stackrouter.capacity.estimate import LEAST_RUNS, Estimate, Pick, at, number, of_mesh, slope_of
 from stackrouter.capacity.fit import fit
 from stackrouter.capacity.load import HEARTBEATS_S, LIMITS, PER_REPLICA
-from stackrouter.capacity.rows import BUILT, PARTLY, Row, at_target, reckoned, row
+from stackrouter.capacity.rows import BUILT, PARTLY, Mechanism, Row, at_target, reckoned, row
 from stackrouter.capacity.scale import FullMeshRun, ScaleRun, with_faults
 from stackrouter.capacity.slopes import Slopes
 
@@ -19,6 +19,8 @@
 def fleet(runs: Sequence[ScaleRun]) -> list[Row]:
     """Time until a change is in force at every gateway, without faults and with them."""
     in_force_ms, replaced_ms = targets.IN_FORCE_S * 1000, targets.REPLACEMENT_S * 1000
+    any_run, lacks_any = _held(runs)
+    faulty, lacks_faulty = _held(with_faults(runs))
     return [
         row(
             "a policy change in force everywhere, p99",
@@ -29,7 +31,14 @@
             in_force_ms,
         ),
         row("the longest", at_target(runs, lambda r: r.in_force_ms_max), "ms", BUILT, "", in_force_ms),
-        row("the longest with faults, any run", _worst_with_faults(runs), "ms", BUILT, "", in_force_ms),
+        row(
+            "the longest with faults, any run",
+            _worst_with_faults(runs),
+            "ms",
+            faulty,
+            lacks_faulty,
+            in_force_ms,
+        ),
         row(
             "a change of the list at every gateway, p99",
             at_target(runs, lambda r: r.list_in_force_ms_p99),
@@ -43,27 +52,38 @@
             "two versions served under at once, the longest of any run",
             _longest_of_any(runs, lambda r: r.two_versions_ms_max),
             "ms",
-            BUILT,
+            any_run,
+            lacks_any,
         ),
         row(
             "gateways without the newest change at the end, any run",
             _longest_of_any(runs, lambda r: float(r.left_behind)),
             "",
-            BUILT,
-            "",
+            any_run,
+            lacks_any,
             0.0,
         ),
         row(
             "versions served under before they were in force, any run",
             _longest_of_any(runs, lambda r: float(r.uncommitted_served)),
             "",
-            BUILT,
-            "",
+            any_run,
+            lacks_any,
             0.0,
         ),
     ]
 
 
+def _held(runs: Sequence[ScaleRun]) -> tuple[Mechanism, str]:
+    """Whether the mechanism held in all of these runs; if not, what did not hold and where."""
+    broken = [run for run in runs if not run.ok]
+    if not broken:
+        return BUILT, ""
+    kinds = sorted({kind for run in broken for kind in run.broken})
+    sizes = ", ".join(f"{size:,}" for size in sorted({run.hollow for run in broken}))
+    return PARTLY, f"{len(broken)} of {len(runs)} runs did not hold, at {sizes} hollow: {', '.join(kinds)}"
+
+
 def full_mesh(runs: Sequence[FullMeshRun]) -> list[Row]:
     """What the design before would cost if every gateway were a member of the Raft group."""
     gateways = targets.GATEWAYS
