Count what a real gateway serves under from the answer that said so, not from the question

The one record: real gateway g3 under version 12 from 06:10:00.15 on; version 12 was handed in at 06:10:02.16, committed at 06:10:02.30 and taken by the voters at 06:10:06.05, with one digest on all of them (c1 to c5's logs). Cause: the harness noted its question's time as the start (fleet/scale/observation.py, look); on a harness that late the answer came 6 s after it. Ruled out: a committed version lost or made twice (the logs have one version 12). Change: seen first counts from the answer, also for the time in force, which gets longer by it. The new test fails before.

--- a/stackrouter/fleet/scale/observation.py
+++ b/stackrouter/fleet/scale/observation.py
@@ -29,9 +29,12 @@
         self._since = self._until = 0  # it was seen to take requests under this version
 
     def look(self) -> None:
-        """One look. What is answered was so at some time after the question."""
+        """One look. What is answered was so at some time between the question and the answer: what was seen
+        first counts from the answer, what was seen last until the question. On a busy machine seconds lie
+        between the two."""
         asked_at = time.monotonic_ns()
         status = doors.gateway_status(self._admin)
+        answered_at = time.monotonic_ns()
         if status is None:
             self._close_interval()
             self.ready = False
@@ -39,15 +42,15 @@
         if status.serving != self.version:
             self._close_interval()
             self.version = status.serving
-            self._took("policy", status.serving, asked_at - round(status.since_s * 1e9))
+            self._took("policy", status.serving, answered_at - round(status.since_s * 1e9))
         if status.nodes_index != self.nodes_index:
             self.nodes_index = status.nodes_index
-            self._took("list", status.nodes_index, time.monotonic_ns())
+            self._took("list", status.nodes_index, answered_at)
         if not status.heartbeat_valid:
             self._close_interval()
         elif not self._since:
-            self._since = asked_at
-        self._until = asked_at
+            self._since = answered_at
+        self._until = max(self._since, asked_at)
         self.ready = status.heartbeat_valid
 
     def end(self) -> FinalState:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,7 +7,9 @@
 from dataclasses import replace
 from itertools import pairwise
 from random import Random
+from unittest import mock
 
+from stackrouter.controlplane.status import GatewayStatus
 from stackrouter.errors import ScaleLimitError
 from stackrouter.fleet.scale.judge import (
     Change,
@@ -22,6 +24,7 @@
 from stackrouter.fleet.scale.layout import lay_out
 from stackrouter.fleet.scale.limits import MachineLimits, needs, refuse_beyond
 from stackrouter.fleet.scale.measure import lateness_p99
+from stackrouter.fleet.scale.observation import RealGateway
 from stackrouter.fleet.scale.options import DRIFT_PART, ScaleOptions, hollow_processes
 from stackrouter.fleet.scale.plan import (
     KINDS,
@@ -245,6 +248,34 @@
         self.assertAlmostEqual(in_force_bound_ms(replace(self.options, faults=True)), 12_600)
 
 
+class RealGateways(unittest.TestCase):
+    def test_a_late_answer_makes_no_gateway_serve_before_it_was_seen_to(self) -> None:
+        """On a busy machine an answer came 6 s after its question, and the version it told of had been taken
+        in between: it counted as served from the question on, before it was handed in."""
+        asked, answered = 10 * S, 16 * S
+        history, gateway = History(), RealGateway("g1", 1, History())
+        gateway._history = history
+        status = gateway_status(serving=12, since_s=0.5)
+        times = iter([asked, answered, 17 * S, 18 * S])
+        with (
+            mock.patch("stackrouter.fleet.scale.doors.gateway_status", return_value=status),
+            mock.patch("time.monotonic_ns", side_effect=lambda: next(times)),
+        ):
+            gateway.look()
+            gateway.look()
+        gateway.end()
+        self.assertEqual(history.served, [Served("g1", 12, "", answered, 17 * S)])
+        self.assertEqual(history.taken[0], Taken("g1", "policy", 12, "", answered - S // 2))
+
+
+def gateway_status(serving: int, since_s: float) -> GatewayStatus:
+    return GatewayStatus(
+        gateway="g1", role="gateway", replica="c1", history="h", position=1, serving=serving, since_s=since_s,
+        heartbeat_valid=True, nodes_index=-1, follows=True, bytes_in=0, bytes_out=0, frames_in=0,
+        frames_out=0, connections=1, hangups=0,
+    )  # fmt: skip
+
+
 class Lateness(unittest.TestCase):
     def test_the_percentile_is_over_all_wakes(self) -> None:
         self.assertIsNone(lateness_p99(Counter()))
