--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -15,7 +15,6 @@
 from heapq import heappop, heappush, heapreplace
 
 from rackseam import interface as api
-from rackseam.indexed_set import IndexedSet
 from rackseam.interface import Action, Effect, ListKind, NodeState, Outcome, Settings
 
 AIM_PART = 0.15  # part of the tightest aim that a node's units out may take to serve (design)
@@ -76,7 +75,7 @@
 
 class _Node:
     def __init__(self, node: str) -> None:
-        self.id, self.shard, self.zone, self.ready, self.launched = node, -1, 0, False, 0
+        self.id, self.shard, self.zone, self.ready, self.launched, self.place = node, -1, 0, False, 0, -1
         self.out_n = self.missed = self.missed_at = self.sent_at = self.done_at = 0
         self.out_units, self.rate, self.rate_at, self.rtt, self.rtt_at = 0.0, 0.0, 0, 0.0, 0
         self.alive_at = self.alone_until = self.wake_at = 0
@@ -125,7 +124,6 @@
         self.margin = 2 * settings.step_us
         self.now = self.seq = 0
         self.started_at, self.loss = -1, 0.0
-        self.share_since, self.share_until = 0, FOREVER  # when this process has its gateway's part of limits
         self.bell_at = FOREVER
         self.actions: list[Action] = []
         self.held: list[tuple[str, float]] | None = None  # who waits how long for tokens, if anyone asks
@@ -133,8 +131,8 @@
         self.requests: dict[str, _Request] = {}
         self.volumes: dict[tuple[str, int], _Volume] = {}
         self.nodes: dict[str, _Node] = {}
-        self.listed = IndexedSet[_Node]()  # the ready ones
-        self.leaving = IndexedSet[_Node]()  # not ready: forgotten once nothing is out there
+        self.listed: list[_Node] = []  # the ready ones, each at its `place`
+        self.leaving: dict[str, _Node] = {}  # not ready: forgotten once nothing is out there
         self.all = _Node("")  # the mean answer time and the summed rate of all nodes
         self.shards: dict[int, _Shard] = {}
         self.chains: dict[str, deque[_Request]] = {}
@@ -152,7 +150,7 @@
     def handle(self, now_us: int, events: Sequence[api.Event]) -> list[Action]:
         self.now = now_us
         if self.started_at < 0:
-            self.started_at = self.share_since = now_us
+            self.started_at = now_us
             if self.s.list_on_request:
                 self._subscribe()
         for event in events:
@@ -170,12 +168,8 @@
                 case api.Withdrawn(request) if request in self.requests:
                     self._cancel(self.requests[request])
                     self._finish(self.requests[request])
-                case api.ShareBegins():
-                    self.share_since = now_us
-                case api.ShareEnds():
-                    self.share_until = now_us
-                    for q in [q for q in self.requests.values() if q.queued and self._short(q) == math.inf]:
-                        self._end(q)  # what it lacks is filled for another process
+                case api.ProbeResult(node, Outcome.DONE) if node in self.nodes:
+                    self._heard(self.nodes[node], 0)
             self._settle()
         self.bell_at = self.bell_at if self.bell_at > now_us else FOREVER
         while self.alarms and self.alarms[0][0] <= now_us:
@@ -251,19 +245,27 @@
                 self.shards.setdefault(entry.shard, _Shard(entry.shard)).nodes.append(known)
             self._set_ready(known, entry.state is NodeState.READY)
             touched[entry.shard] = None
-        for node in [n for n in self.leaving if not n.out_n]:
-            del self.nodes[node.id]
-            self.leaving.discard(node)
+        for node in [n for n in self.leaving.values() if not n.out_n]:
+            del self.nodes[node.id], self.leaving[node.id]
             self.shards[node.shard].nodes.remove(node)
         for number in touched:
             self._kick(self.shards[number])
         self._kick(self.others)
 
     def _set_ready(self, node: _Node, ready: bool) -> None:
+        """The last takes the place that is left: one changed entry must not cost with all nodes."""
+        if ready and node.place < 0:
+            node.place = len(self.listed)
+            self.listed.append(node)
+        elif not ready and node.place >= 0:
+            last = self.listed[-1]
+            self.listed[node.place], last.place = last, node.place
+            self.listed.pop()
+            node.place = -1
         node.ready = ready
-        joined, left = (self.listed, self.leaving) if ready else (self.leaving, self.listed)
-        joined.add(node)
-        left.discard(node)
+        self.leaving.pop(node.id, None)
+        if not ready:
+            self.leaving[node.id] = node
 
     # --- requests in
 
@@ -278,7 +280,7 @@
         if volume is None:
             self._drop_idle()
             plan = self.s.plans[e.plan]
-            volume = _Volume(plan, e.gateways, self.now, self.s.max_units, self.share_since)
+            volume = _Volume(plan, e.gateways, self.now, self.s.max_units, self.started_at)
         self.volumes[e.volume, e.plan] = volume  # the longest unused stands first
         volume.gateways = max(volume.gateways, e.gateways)
         shard = self.shards.setdefault(e.shard, _Shard(e.shard))
@@ -341,10 +343,9 @@
 
     def _fill(self, v: _Volume) -> None:
         """Lazy fill at an even part: the shared store is never below the sum of the parts, whoever sends."""
-        rate, depth = v.plan.limit_units_per_s / v.gateways / 1e6, v.plan.burst_units / v.gateways
-        # What the process that follows this one has filled since is its own: together they hold one bucket.
-        given, until = max(0, self.now - self.share_until), min(self.now, self.share_until)
-        v.tokens = min(depth - given * rate, v.tokens + max(0, until - v.filled_at) * rate)
+        depth = v.plan.burst_units / v.gateways
+        gained = (self.now - v.filled_at) * v.plan.limit_units_per_s / v.gateways / 1e6
+        v.tokens = min(depth, v.tokens + gained)
         v.filled_at = self.now
 
     def _short(self, r: _Request) -> float:
@@ -361,8 +362,6 @@
         missing = need - v.tokens
         if missing <= EPSILON:
             return 0.0
-        if self.now >= self.share_until:
-            return math.inf
         return missing * v.gateways * 1e6 / v.plan.limit_units_per_s
 
     def _reserve(self, v: _Volume) -> float:
@@ -395,9 +394,6 @@
             version = lane.version
             if wait < math.inf:
                 self._at(self.now + wait, lambda: self._ripe(lane, version))
-            elif self.now >= self.share_until:
-                self._end(r)
-                self._arm(lane)
             return
         shard, v = lane.shard, lane.volume
         lane.tag = max(lane.tag, shard.tag)
@@ -736,13 +732,15 @@
             if e.elsewhere_units and v.plan.reserve_units_per_s:
                 # What other gateways had served here has used the volume's reserve too.
                 v.reserve = max(-v.plan.reserve_units_per_s, self._reserve(v) - e.elsewhere_units)
-        elif outcome is Outcome.FULL or (outcome is Outcome.MOOT and not e.closed):
+        elif outcome is Outcome.FULL:
             self._rest(node, self.aim * FULL_REST_AIMS * (0.5 + self.random.random()))
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             # A broken connection is no dead node, the next attempt tells; two that were refused are.
             node.broken += 2 if outcome is Outcome.CONNECT_FAILED else 1
             if node.broken >= BROKEN_MOST:
                 self._silence(node)
+        elif outcome is Outcome.MOOT and not e.closed:
+            self._rest(node, self.aim * FULL_REST_AIMS * (0.5 + self.random.random()))
         elif outcome is Outcome.TIMEOUT:
             node.missed, node.missed_at = node.missed + 1, self.now
             if self.loss < LOSS_SHOWN or node.missed > 1:
--- a/rackseam/interface.py
+++ b/rackseam/interface.py
@@ -208,17 +208,6 @@
     request: str
 
 
-@dataclass(frozen=True, slots=True)
-class ShareBegins:
-    """This process begins to serve clients: its part of each limit counts from here, not from its start.
-    Another process of the same gateway may have used the part up to here."""
-
-
-@dataclass(frozen=True, slots=True)
-class ShareEnds:
-    """Another process of this gateway has this one's part of each limit from here on."""
-
-
 @dataclass(frozen=True, slots=True)
 class Timer:
     tag: str
@@ -238,18 +227,7 @@
     payload: bytes
 
 
-Event = (
-    ListUpdate
-    | Arrival
-    | Answer
-    | Began
-    | Withdrawn
-    | Timer
-    | ProbeResult
-    | PeerMessage
-    | ShareBegins
-    | ShareEnds
-)
+Event = ListUpdate | Arrival | Answer | Began | Withdrawn | Timer | ProbeResult | PeerMessage
 
 
 @dataclass(frozen=True, slots=True)
--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -80,24 +80,13 @@
         )
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
         self.listeners = [
-            Listener(
-                config.listen,
-                0,
-                self.counters,
-                session,
-                PATIENCE,
-                BUSY,
-                config.listen_fd,
-                self.drain,
-                self.engine.share_begins,
-            )  # fmt: skip
+            Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY, config.listen_fd, self.drain)
         ]
         if sftp is not None:
             session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
             self.listeners.append(
                 Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b"", drain=self.drain)
             )
-        self._inherited = config.listen_fd is not None
         self._limit(config)
         self._terminated = Event()
         self.admin = Admin(config.admin, self.answer) if config.admin else None
@@ -207,8 +196,6 @@
         gevent.sleep(SERVE_ON_S)
         for listener in self.listeners:
             listener.stop()
-        if self._inherited:  # at an upgrade the new process accepts from here on
-            self.engine.share_ends()
         # A client that never reads its answer must not hold the exit until the platform kills the program.
         until_us = clock_us() + max(c.deadline_us for c in self.engine.settings.classes)
         while clock_us() < until_us and not (self.engine.idle() and all(li.idle() for li in self.listeners)):
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -36,8 +36,6 @@
     Send,
     SetTimer,
     Settings,
-    ShareBegins,
-    ShareEnds,
     Subscribe,
     Timer,
     Withdrawn,
@@ -95,14 +93,6 @@
     def _retune(self, settings: Settings) -> None:
         self.settings = self.controller.s = settings
 
-    def share_begins(self) -> None:
-        """This process alone accepts clients from now on: it has its gateway's part of each limit."""
-        self._queue.put((self._events.append, (ShareBegins(),)))
-
-    def share_ends(self) -> None:
-        """Another process of this gateway accepts clients from now on, and has its part of each limit."""
-        self._queue.put((self._events.append, (ShareEnds(),)))
-
     def withdraw(self, request: Request) -> None:
         self._queue.put((self._withdraw, (request,)))
 
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -18,14 +18,12 @@
 import gevent
 from gevent import GreenletExit, socket
 from gevent.event import Event
-from gevent.socket import wait_read
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.model import Inbox
 from stackrouter.errors import defect
 from stackrouter.net.door import listen_at
 from stackrouter.net.ring import Ring
-from stackrouter.ops.accept_turn import LOOK_S, AcceptTurn
 from stackrouter.ops.drain import Drain
 
 log = logging.getLogger(__name__)
@@ -308,14 +306,11 @@
 class Listener:
     def __init__(self, address: tuple[str, int], most: int, counters: Counters,
                  session: Callable[[Callable[[], None]], Session], patience: Patience,
-                 busy: bytes, inherited: int | None = None, drain: Drain | None = None,
-                 begins: Callable[[], None] = lambda: None) -> None:  # fmt: skip
+                 busy: bytes, inherited: int | None = None, drain: Drain | None = None) -> None:  # fmt: skip
         """`inherited`: a listening socket's descriptor, used instead of binding `address`; else ListenError.
-        `begins`: called once, when this process begins to accept.
 
         At an upgrade the platform holds the clients' socket and both processes share it: binding the address
-        again would fail, and a socket of our own would shut the old process's door. This process accepts on
-        it once nobody else does (see ops.accept_turn).
+        again would fail, and a socket of our own would shut the old process's door.
         """
         self.most, self.counters, self.session = most, counters, session
         self.patience, self.busy = patience, busy
@@ -324,8 +319,6 @@
         self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
         self.drain = drain or Drain()
-        self._begins = begins
-        self._accept_turn = AcceptTurn() if inherited is not None else None
         self._sock = listen_at(address, BACKLOG, inherited)
         self.address = self._sock.getsockname()
         self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._sweep)]
@@ -382,19 +375,7 @@
         if self.connections.pop(connection, connection) is None:
             self.connections[connection] = None
 
-    def _wait_for_turn(self, turn: AcceptTurn) -> None:
-        """Return once no other process accepts on the inherited socket."""
-        descriptor = self._sock.fileno()
-        queue = select.poll()
-        queue.register(descriptor, select.POLLIN)
-        while not turn.looked(time.monotonic(), bool(queue.poll(0))):
-            wait_read(descriptor)  # until a connection comes; at once while one is there
-            gevent.sleep(LOOK_S)
-
     def _accept(self) -> None:
-        if self._accept_turn is not None:
-            self._wait_for_turn(self._accept_turn)
-        self._begins()
         while True:
             self._wait_for_room()
             try:
--- a/tests/test_list_pieces.py
+++ b/tests/test_list_pieces.py
@@ -69,11 +69,11 @@
 def state_of(engine: Engine) -> tuple[object, ...]:
     """All that the engine and the module know of the nodes, and that the module's indices agree."""
     controller = engine.controller
-    assert all(node.ready for node in controller.listed)
-    assert all(controller.nodes[node.id] is node for node in controller.listed)
-    assert len({node.id for node in controller.listed}) == len(controller.listed)
+    for place, ready in enumerate(controller.listed):
+        assert ready.place == place
+        assert ready.ready
     assert {n.id for n in controller.listed} == {n.id for n in controller.nodes.values() if n.ready}
-    assert {n.id for n in controller.leaving} == {n.id for n in controller.nodes.values() if not n.ready}
+    assert set(controller.leaving) == {n.id for n in controller.nodes.values() if not n.ready}
     return (
         {n.name: (n.address, n.shard, n.state) for n in engine.nodes.values()},
         {n.id: (n.shard, n.zone, n.ready, n.launched) for n in controller.nodes.values()},
