Take a list of another history, and know nodes' starts without trust in the wall clock

Cause: Asking.answered compared the version with that of the call though numbers order one history only; Listing mapped since_ms by the wall clock read once at the start. Ruled out: bounds from the time a start takes to be told (a clock some seconds ahead lies within them and makes nodes older: the property test found it); a rest after each answer (news would always be late). Change: what discovery answers is taken, what cannot be a change of the list asked about is followed by a call for the whole list, more than three answers in a row that come at once are followed by a rest of 40 to 80 ms; a node's start is at most as old as the least of came - since over all lists says (membership/start_times.py). Cost: the youngest node of a process's first list counts as started just then.

--- a/stackrouter/membership/asking.py
+++ b/stackrouter/membership/asking.py
@@ -136,14 +136,16 @@
         self._call, self._since, self.due_us = None, None, now + self._quick_rest(call, now)
         self._lost, self._refused = self.pace.lost_us, self.pace.refused_us
         self._sure = True
-        if call.index is not None and self.index is not None and version < self.index:
+        if call.handed_on != self._handed_on and self.index is not None and version < self.index:
             return Verdict.OLDER
-        self.index = version
+        no_change = call.index is not None and (version < call.index or (version == call.index and news))
+        self.index = None if no_change and not whole else version
         return Verdict.TAKE
 
     def _quick_rest(self, call: Call, now: int) -> int:
         self._quick = self._quick + 1 if now - call.begun_us < QUICK_US else 0
-        return 0
+        if self._quick <= QUICK_ANSWERS_MOST:
+            return 0
         return round(QUICK_REST_US * (0.5 + self._random.random() / 2))
 
     def refused(self, call: Call, now: int) -> None:
--- a/stackrouter/membership/start_times.py
+++ b/stackrouter/membership/start_times.py
@@ -53,7 +53,7 @@
         known = self._starts.get(node)
         if known is None or known.since_ms != since_ms:
             assert self._least_offset_us is not None
-            launched = max(0, since_ms * 1000 + self._wall_offset_us)
+            launched = min(now_us, since_ms * 1000 + max(self._wall_offset_us, self._least_offset_us))
             known = self._starts[node] = _Start(since_ms, max(1, launched))
         return known.launched_us
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -197,6 +197,54 @@
         asking.failed(asking.begin(MS), 2 * MS)
         self.assertFalse(asking.follows(13))
 
+    def test_an_answer_of_another_history_is_taken_and_the_whole_list_asked_for(self) -> None:
+        """Another copy of discovery took over: its numbers mean nothing beside those of the one before."""
+        for version, whole, news, index in (
+            (5, True, True, 5),
+            (5, False, True, None),
+            (5, False, False, None),
+            (1000, False, True, None),  # the same number with other content
+            (1000, False, False, 1000),
+            (1000, True, True, 1000),
+            (9000, True, True, 9000),
+            (9000, False, True, 9000),
+        ):
+            for pushed in (False, True):
+                with self.subTest(version=version, whole=whole, news=news, pushed=pushed):
+                    asking = Asking(pace(3, pushed), random.Random(1), 1000)
+                    call = asking.begin(0)
+                    self.assertIs(asking.answered(call, S, version, whole, news), Verdict.TAKE)
+                    self.assertEqual(asking.index, index)
+
+    def test_a_discovery_whose_numbers_never_settle_is_asked_with_a_pause(self) -> None:
+        """It was asked 13,334 times in 9 s."""
+        for pushed in (False, True):
+            asking, now, calls = Asking(pace(3, pushed), random.Random(1), 1000), 0, 0
+            while now < 9 * S:
+                call = asking.begin(now)
+                calls += 1
+                asking.answered(call, now + MS, calls % 7, whole=bool(calls % 2), news=True)
+                assert asking.due_us is not None
+                self.assertLessEqual(asking.due_us - now - MS, QUICK_REST_US)
+                now = max(now + MS, asking.due_us)
+            self.assertLess(calls, 9 * 30)
+
+    def test_a_late_answer_counts_unless_another_came_or_discovery_moved_since(self) -> None:
+        for pushed in (False, True):
+            asking = Asking(pace(3, pushed), random.Random(1), 7)
+            late = asking.begin(0)
+            self.assertTrue(asking.failed(late, late.until_us))
+            beside = asking.begin(asking.due_us or 0)
+            self.assertIs(asking.answered(late, beside.begun_us + 5 * MS, 8, news=True), Verdict.TAKE)
+            self.assertEqual((asking.index, asking.due_us), (8, beside.begun_us + 5 * MS))
+            self.assertIs(asking.answered(beside, beside.begun_us + 9 * MS, 7), Verdict.VOID)
+            self.assertFalse(asking.failed(beside, beside.until_us))
+            late = asking.begin(asking.due_us or 0)
+            asking.failed(late, late.until_us)
+            asking.moved(late.until_us)
+            self.assertIs(asking.answered(late, late.until_us + MS, 9), Verdict.VOID)
+            self.assertIsNone(asking.index)
+
 
 if __name__ == "__main__":
     unittest.main()
