Show that accept, read and write errors in passing end what is owed

Cause: Listener.stop breaks on any errno outside EXHAUSTED; Ring.receive, Ring.send and sendall pass any error on. Ruled out: lack of descriptors, which is tested and holds.

--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -74,15 +74,15 @@
 
 
 class Backlog:
-    """A listening socket that finds no descriptor for the next few who wait at it."""
+    """A listening socket whose next few calls of accept fail; by default for want of a descriptor."""
 
-    def __init__(self, sock: socket.socket, fails: int) -> None:
-        self._sock, self._fails = sock, fails
+    def __init__(self, sock: socket.socket, fails: int, number: int = errno.EMFILE) -> None:
+        self._sock, self._fails, self._number = sock, fails, number
 
     def accept(self) -> Any:
         if self._fails:
             self._fails -= 1
-            raise OSError(errno.EMFILE, "too many open files")
+            raise OSError(self._number, errno.errorcode[self._number])
         return self._sock.accept()
 
     def __getattr__(self, name: str) -> Any:
@@ -338,6 +338,20 @@
         self.sessions[-1].answer()
         self.assertEqual(sock.recv(100), b"x\n")
 
+    def test_a_stop_at_which_accept_fails_in_passing_lets_in_who_waits(self) -> None:
+        """It closed the listening socket over its backlog: whoever the system had let in was reset."""
+        for number in (errno.ECONNABORTED, errno.EINTR, errno.EPROTO, errno.EPERM, errno.ENETDOWN,
+                       errno.EHOSTUNREACH, errno.ENOBUFS, errno.ENFILE):  # fmt: skip
+            with self.subTest(errno.errorcode[number]):
+                self.sessions.clear()
+                door = self.door()
+                door._greenlets[0].kill()
+                waiting = [self.client(door, b"a\n") for _ in range(3)]  # stand in the backlog
+                with mock.patch.object(door, "_sock", Backlog(door._sock, 2, number)):
+                    door.stop()
+                for sock in waiting:
+                    self.assertEqual(sock.recv(100), b"a\n")
+
     def test_idle_clients_that_fill_the_cap_give_way_to_one_that_asks(self) -> None:
         door = self.door(most=20)
         for _ in range(60):
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import struct
 import time
 import unittest
@@ -153,6 +154,27 @@
         wait_until(lambda: bool(results), "answered")
         self.assertEqual((len(self.commands), results[0].verdict), (1, Verdict.FAILED))
 
+    def test_a_read_or_a_write_that_fails_in_passing_is_made_again(self) -> None:
+        """It ended the attempt as a reset, which may have run, and for a client its connection."""
+        for name in ("recv_into", "send"):
+            for number in (errno.EINTR, errno.ENOBUFS, errno.ENOMEM):
+                with self.subTest(name, number=errno.errorcode[number]):
+                    engine = self.start()
+                    self.replies, fails = [SERVED], [OSError(number, "for a moment")] * 2
+                    real = getattr(socket.socket, name)
+
+                    def failing(sock: Any, *args: Any, fails: list[OSError] = fails, real: Any = real) -> Any:
+                        if fails and sock.getpeername() == self.address:
+                            raise fails.pop()
+                        return real(sock, *args)
+
+                    with mock.patch.object(socket.socket, name, failing):
+                        _, results = self.ask(engine, UNSAFE)
+                        wait_until(lambda r=results: bool(r), "answered")  # type: ignore[misc]
+                    self.assertIs(results[0].verdict, Verdict.SERVED)
+                    self.assertEqual(fails, [])
+                    self.pool.close_all_idle()
+
     def test_a_repeat_within_the_window_is_written(self) -> None:
         engine = self.start()
         self.replies = [b"", SERVED]
