Ask one gate before every byte to a node and every close of a client; one table of errnos

Cause: Attempt.may_write was asked once before sendall, which waits for a full buffer and goes on unasked; Listener.stop broke off on any errno outside EXHAUSTED; a request that came on an open connection after SIGTERM kept its whole deadline, past the earliest SIGKILL. Ruled out: a check in the engine alone (waits lie behind it); gevent's own sendall (it repeats the write itself after a wait). Change: core/gate.py decides, pure, with typed denials; net/node_socket.py and net/client_socket.py own the sockets and ask it before each system call; net/socket_errors.py is the table by errno; core/violations.py checks after the fact by time, counts violations.RULE and logs SR-RULE-BROKEN with the request's id; a failed request's log line tells each attempt, its node's state and why it ended; what is taken after SIGTERM is answered 0.15 s before the earliest kill, or refused. Checks changed: the crossing of a planned close is forced between the gate's word and the end (before: behind the only look); DeniedError is control flow that no operator sees.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -61,7 +61,8 @@
         self.counters = Counters()
         self.engine = Engine(config.settings, config.max_open, self.counters)
         self.pool = Pool(config.node_sockets, config.answer_bytes, config.connect_timeout_us,
-                         config.keepalive_us, self.counters, self.engine.ended)  # fmt: skip
+                         config.keepalive_us, self.counters, self.engine.ended, self.engine.gate,
+                         self.engine.violations)  # fmt: skip
         self.engine.transport = self.pool
         listing = Listing(config.zones, config.kinds, clock_us(), time.time_ns() // 1000)
         try:
@@ -81,12 +82,31 @@
         )
         session: Callable[..., Session] = partial(PlatformSession, self.engine, names, self.counters)
         self.listeners = [
-            Listener(config.listen, 0, self.counters, session, PATIENCE, BUSY, config.listen_fd, self.drain)
+            Listener(
+                config.listen,
+                0,
+                self.counters,
+                session,
+                PATIENCE,
+                BUSY,
+                config.listen_fd,
+                self.drain,
+                self.engine.gate,
+            )
         ]
         if sftp is not None:
             session = partial(SftpSession, Shared(sftp, self.engine, self.counters))
             self.listeners.append(
-                Listener(sftp.listen, 0, self.counters, session, SFTP_PATIENCE, b"", drain=self.drain)
+                Listener(
+                    sftp.listen,
+                    0,
+                    self.counters,
+                    session,
+                    SFTP_PATIENCE,
+                    b"",
+                    drain=self.drain,
+                    gate=self.engine.gate,
+                )
             )
         self._limit(config)
         self._terminated = Event()
@@ -192,6 +212,7 @@
     def serve(self) -> None:
         """Ready from here on; returns once a stop has been asked for and all taken requests are answered."""
         self._terminated.wait()
+        self.engine.stop()
         if self.extras is not None:
             self.extras.leave()
         gevent.sleep(SERVE_ON_S)
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -42,7 +42,9 @@
 )
 from stackrouter.core import facts
 from stackrouter.core.counters import Counters
+from stackrouter.core.gate import Denial, Gate
 from stackrouter.core.model import Attempt, Node, Reply, Request, Result, Transport, Verdict
+from stackrouter.core.violations import ViolationLog
 from stackrouter.core.wheel import Timer as WheelTimer
 from stackrouter.core.wheel import Wheel
 from stackrouter.errors import ActionError, defect, tell
@@ -67,6 +69,8 @@
     def __init__(self, settings: Settings, max_open: int, counters: Counters,
                  clock: Callable[[], int] = clock_us) -> None:  # fmt: skip
         self.settings, self.max_open, self.counters, self.clock = settings, max_open, counters, clock
+        self.gate = Gate()
+        self.violations = ViolationLog(counters, settings.drain_grace_us)
         self.tap: facts.Tap | None = None  # None: nobody reads, nothing is made
         self.transport: Transport | None = None
         self.fetch_list: Callable[[], None] = lambda: None
@@ -103,8 +107,12 @@
                addresses: dict[str, tuple[str, int]]) -> None:  # fmt: skip
         self._queue.put((self._listed, (kind, version, entries, addresses)))
 
+    def stop(self) -> None:
+        """SIGTERM came: what is taken from now on is answered before the process may be killed."""
+        self.gate.stop(self.clock(), max(c.deadline_us for c in self.settings.classes))
+
     def written(self, attempt: Attempt) -> None:
-        """Told by the transport while a tap is there: the attempt's last byte is out."""
+        """Told by the transport: the attempt's last byte is out."""
         if self.tap is not None and attempt.live:
             self.tap(facts.Written(self.clock(), int(attempt.request.id), attempt.number, attempt.node.name))
 
@@ -187,6 +195,8 @@
 
     def _submit(self, r: Request) -> None:
         self.counters.add("requests.taken")
+        denial = self.gate.may_take(r.deadline_us, self._now)
+        r.deadline_us = self.gate.answer_by_us(r.deadline_us)
         grace = r.deadline_us - self._now
         self._made += 1
         r.id = str(self._made)
@@ -195,6 +205,10 @@
                 self._now, self._made, r.request_class, r.plan, r.volume, r.units, r.shard, r.gateways,
                 r.deadline_us, r.repeat, r.write,
             ))  # fmt: skip
+        if denial is Denial.STOPPING:
+            self.counters.add("requests.over_at_stop")
+            self._answer(r, Result(Verdict.REFUSED, pause_us=0))
+            return
         if len(self.requests) >= self.max_open or (self.held is not None and self.held()):
             self.counters.add("requests.over_max_open")
             pause = min(min(c.aim_us for c in self.settings.classes), self.settings.retry_after_most_us)
@@ -222,7 +236,7 @@
     def _withdraw(self, r: Request) -> None:
         if not r.answered:
             self.counters.add("requests.withdrawn")
-            r.answered = True
+            r.answered, r.gone_us = True, self._now
             if self.tap is not None:
                 self.tap(facts.GivenUp(self._now, int(r.id)))
             self._events.append(Withdrawn(r.id))
@@ -238,14 +252,17 @@
             named = {entry.node for entry in entries}
             gone = {name: node for name, node in self.nodes.items() if name not in named}
             for node in gone.values():
-                node.state = NodeState.GONE
+                node.told(NodeState.GONE, self._now)
         for entry in entries:
             known = self.nodes.get(entry.node)
             address = addresses[entry.node]
             if known is None:
-                known = self.nodes[entry.node] = Node(entry.node, address, entry.shard, entry.state)
+                known = self.nodes[entry.node] = Node(
+                    entry.node, address, entry.shard, entry.state, self._now
+                )
             else:
-                known.address, known.shard, known.state = address, entry.shard, entry.state
+                known.address, known.shard = address, entry.shard
+                known.told(entry.state, self._now)
             if known.state is NodeState.GONE:
                 gone[entry.node] = known
         for node in gone.values():
@@ -266,6 +283,7 @@
         if attempt.may_have_run and reply.outcome is not Outcome.FULL:
             r.ran_us = attempt.sent_us if r.ran_us is None else min(r.ran_us, attempt.sent_us)
         self.counters.add(f"attempts.{reply.outcome.value}")
+        self._tell_story(attempt, reply)
         if self.tap is not None:
             self.tap(facts.Ended(
                 self._now, int(r.id), attempt.number, attempt.node.name, reply.outcome,
@@ -283,6 +301,17 @@
         )  # fmt: skip
         self._forget(r)
 
+    def _tell_story(self, attempt: Attempt, reply: Reply) -> None:
+        """What the log needs to answer for this request: nothing where its first attempt is served."""
+        if reply.outcome is Outcome.DONE:
+            return
+        node, request = attempt.node, attempt.request
+        after_ms = (self._now - attempt.sent_us) // 1000
+        why = f", {reply.denial}" if reply.denial else ""
+        request.story.append(
+            f"{node.name} ({node.state.name.lower()}): {reply.outcome.value}{why} after {after_ms} ms"
+        )
+
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.live:
             if self.transport:
@@ -296,6 +325,9 @@
             return
         r.answered = True
         self.counters.add(f"requests.{result.verdict.value}")
+        self.violations.answered(r, self._now)
+        if result.verdict is Verdict.FAILED:
+            log.info("request %s failed: %s", r.trace_id or r.id, "; ".join(r.story) or "never sent")
         if self.tap is not None:
             self.tap(facts.Answered(self._now, int(r.id), result.verdict, result.pause_us))
         r.answer(result)
@@ -341,11 +373,13 @@
         if r is None:
             self._events.append(Answer(request, 0, name, Outcome.MOOT, True))
             return
+        denial = self.gate.may_start(r, node, self.settings.max_attempts, self._now)
         number, r.attempts = r.attempts, r.attempts + 1
-        held = node is not None and r.shard in (-1, node.shard)
-        if node is None or not held or r.answered or r.attempts > self.settings.max_attempts \
-                or self._now >= r.deadline_us or self.transport is None:  # fmt: skip
+        if denial is not None or node is None or self.transport is None:
             self.counters.add("attempts.moot")
+            if denial is not None:
+                self.counters.add(f"denied.{denial.value}")
+                r.story.append(f"{name}: not started, {denial.value}")
             self._events.append(Answer(r.id, number, name, Outcome.MOOT, r.answered))
             return
         deadline = min(r.deadline_us, self._now + timeout_us) if timeout_us else r.deadline_us
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -38,6 +38,7 @@
     report: Mapping[str, float] = field(default_factory=dict)
     exact: bool = False
     lease: object = None
+    denial: str = ""  # why the gate did not let it be sent
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +89,7 @@
     repeat: bool = False
     write: bool = False
     port: int = 0  # the node port of that wire; 0: the one discovery gives
+    trace_id: str = ""  # by which the client knows the request
     # Kept by the engine alone:
     repeat_us: int | None = (
         None  # for so long after the first attempt that may have run another may; None: ever
@@ -97,16 +99,9 @@
     attempts: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     answered: bool = False
+    gone_us: int | None = None  # when its client went away before its answer
     backstop: Timer | None = None
-
-    def may_run(self, now_us: int) -> bool:
-        """Whether one more attempt does no harm: none may have run, or its idempotency key is still known."""
-        if self.repeat_us is None:
-            return True
-        ran = [a.sent_us for a in self.out.values() if a.may_have_run]
-        if self.ran_us is not None:
-            ran.append(self.ran_us)
-        return not ran or now_us < min(ran) + self.repeat_us
+    story: list[str] = field(default_factory=list)  # what was done for it, for the log
 
 
 @dataclass(slots=True, eq=False)
@@ -115,10 +110,13 @@
     address: tuple[str, int]
     shard: int
     state: NodeState
+    unready_since_us: int = 0  # since when it is known to drain or to be gone
 
-    @property
-    def ready(self) -> bool:
-        return self.state is NodeState.READY
+    def told(self, state: NodeState, now_us: int) -> None:
+        """The list says so."""
+        if state is not NodeState.READY and self.state is NodeState.READY:
+            self.unready_since_us = now_us
+        self.state = state
 
 
 @dataclass(slots=True, eq=False)
@@ -134,12 +132,6 @@
     may_have_run: bool = False
     timeout: Timer | None = None
 
-    def may_write(self, now_us: int) -> bool:
-        """Guards the first byte: while it connected the list may have changed, the client may have gone (also
-        where an attempt may not be cancelled), or the time in which a repeat does no harm may have passed."""
-        r = self.request
-        return self.live and not r.answered and self.node.ready and r.may_run(now_us)
-
     @property
     def address(self) -> tuple[str, int]:
         host, port = self.node.address
--- a/stackrouter/errors.py
+++ b/stackrouter/errors.py
@@ -603,6 +603,14 @@
     """This machine does not bear a scale run of the size asked for; nothing was started."""
 
 
+class RuleBrokenError(
+    StackrouterError, code="SR-RULE-BROKEN",
+    do="Follow the request by its id through the log lines of this gateway, and report it with them and the"
+    " counters of SIGUSR1: a rule of the protocol was broken, whatever the cause.",
+):  # fmt: skip
+    """A check after the fact found that something was sent or answered which the rules do not allow."""
+
+
 class StartError(
     StackrouterError, code="SR-STANDIN-START", do="Look at the line quoted: it is the process's own last one."
 ):
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -107,6 +107,7 @@
         wire=WIRE,
         repeat=fields.get("r") == "1",
         write=name == WRITE,
+        trace_id=request_id.decode("ascii", "replace"),
     )
 
 
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -6,9 +6,7 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import logging
-import select
 import time
 import weakref
 from collections.abc import Callable
@@ -20,10 +18,13 @@
 from gevent.event import Event
 
 from stackrouter.core.counters import Counters
+from stackrouter.core.gate import ClientState, Gate
 from stackrouter.core.model import Inbox
 from stackrouter.errors import defect
+from stackrouter.net.client_socket import ClientSocket
 from stackrouter.net.door import listen_at
 from stackrouter.net.ring import Ring
+from stackrouter.net.socket_errors import AcceptError, accept_error
 from stackrouter.ops.drain import Drain
 
 log = logging.getLogger(__name__)
@@ -48,9 +49,8 @@
 REST_S = 0.02  # ... but not before this long after an answer
 ROOM_STEP_S = 0.02
 ROOM_S = 0.5  # how long a new client waits for room before it is told to come again
-EXHAUSTED = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 EXHAUSTED_REST_S = 0.05
-EXHAUSTED_TRIES = 100  # at a stop, to let in who has connected before
+STOP_TRIES = 100  # calls of accept that may fail at a stop, to let in who has connected before
 
 
 class MalformedError(Exception):
@@ -91,8 +91,8 @@
 
 
 class Connection:
-    def __init__(self, sock: socket.socket, listener: Listener) -> None:
-        self.sock, self.listener = sock, listener
+    def __init__(self, sock: ClientSocket, listener: Listener) -> None:
+        self._sock, self.listener = sock, listener
         self.inbox, self.outbox = Ring(INBOX), Ring(OUTBOX)
         self.active_at = self.half_since = time.monotonic()
         self.ending = self.closed = self._half = self._asked = self._blocked = False
@@ -131,13 +131,12 @@
             return False  # what was taken is answered first, whatever stands half behind it
         if not self._asked or len(self.inbox):
             return not self.ending and now - self.half_since > patience.request_s
-        return self.idle() and now - self.active_at > patience.idle_s and not self._readable()
+        return self.idle() and now - self.active_at > patience.idle_s and not self._sock.readable()
 
     def spare(self, now: float) -> bool:
         """May be closed to make room: nothing is owed on it, and nothing is about to be asked."""
-        if not self.settled() or self.ending or self._young(now):
-            return False
-        return (not len(self.inbox) or now - self.active_at > HALF_S) and not self._readable()
+        half_may_wait = now - self.active_at <= HALF_S
+        return not self.ending and self.listener.gate.may_close(self._state(now, half_may_wait)) is None
 
     def drained(self, now: float) -> bool:
         """Closed now for a drain: nothing is owed on it and nothing is on its way (see ops.drain)."""
@@ -145,42 +144,45 @@
         if drain.since is None or self.ending:
             return False
         owed = not self.settled()
-        return drain.closes(now, owed=owed, readable=not owed and (len(self.inbox) > 0 or self._readable()),
+        readable = not owed and (len(self.inbox) > 0 or self._sock.readable())
+        return drain.closes(now, owed=owed, readable=readable,
                             asked=self._asked, active_at=self.active_at)  # fmt: skip
 
     def _young(self, now: float) -> bool:
         return not self._asked and now - self.active_at <= YOUNG_S
 
-    def _readable(self) -> bool:
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-    def _hung_up(self) -> bool:
-        """The client has closed, seen past bytes that are not read now."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
+    def _state(self, now: float, half_counts: bool = True) -> ClientState:
+        """For the gate. `half_counts`: part of a request is as good as a whole one."""
+        owed = not self.settled()
+        unread = not owed and ((half_counts and len(self.inbox) > 0) or self._sock.readable())
+        return ClientState(owed, unread, self._young(now))
 
     def finish(self) -> None:
         """At a stop: end once nothing is owed and nothing is on its way."""
-        if self.ending or not self.idle() or self._young(time.monotonic()) or self._readable():
-            return
-        self.end()
+        if not self.ending:
+            self.end()
+
+    def end(self, planned: bool = True) -> None:
+        """End it, if the gate lets it. `planned`: not over what has come and is not read; else it cannot be
+        followed, or never asks anything whole.
 
-    def end(self) -> None:
-        """Lingering close: our sending ends, what still comes is discarded until the client ends too.
+        Lingering close: our sending ends, what still comes is discarded until the client ends too.
 
         Closing over unread bytes would reset the connection, and the last answer could be lost with it. A
         request that crosses this is never taken: its client sees the end without an answer and sends it anew.
         """
         if self.closed or self.lingering_since is not None:
             return
-        self.lingering_since = time.monotonic()
+        now, gate = time.monotonic(), self.listener.gate
+        denial = gate.may_close(self._state(now)) if planned else gate.may_break(self._state(now))
+        if denial is not None:
+            self.listener.counters.add(f"denied.close_{denial.value}")
+            return
+        self.lingering_since = now
         self.ending = True
         self.session.gone()
         try:
-            self.sock.shutdown(socket.SHUT_WR)
+            self._sock.end_sending()
         except OSError:
             self.close()
             return
@@ -194,9 +196,7 @@
         self.closed = True
         self.listener.forget(self)
         self.session.gone()
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
+        self._sock.close()
         for greenlet in self._greenlets:
             if greenlet is not gevent.getcurrent():
                 greenlet.kill(block=False)
@@ -225,7 +225,7 @@
                 self._wake.set()  # the writer may have found all answered while this still held it back
             elif not self.inbox.room:
                 return self._farewell(b"")  # no request is this large
-            elif not self.inbox.receive(self.sock):
+            elif not self._sock.read(self.inbox):
                 return
             if self.lingering_since is not None:
                 return self._discard()
@@ -247,7 +247,7 @@
         while not enough() and self.lingering_since is None:
             self._room.clear()
             self._room.wait(GONE_S)
-            if self._hung_up():
+            if self._sock.hung_up():
                 self.listener.counters.add("clients.gone_unread")
                 return False
         return True
@@ -259,8 +259,8 @@
             return
         if self.lingering_since is None:
             with gevent.Timeout(STALL_S, TimeoutError()):
-                self.sock.sendall(data)
-            self.end()
+                self._sock.write_all(data)
+            self.end(planned=False)
         self._discard()
 
     def _discard(self) -> None:
@@ -268,7 +268,7 @@
         while not self.closed and self._discarded <= LINGER_BYTES:
             self._discarded += len(self.inbox)
             self.inbox.skip(len(self.inbox))
-            if not self.inbox.receive(self.sock):
+            if not self._sock.read(self.inbox):
                 return
 
     def _write(self) -> None:
@@ -281,7 +281,7 @@
                     break
             self._room.set()
             if len(self.outbox):
-                self.outbox.send(self.sock)
+                self._sock.write(self.outbox)
                 self._active()
                 continue
             if self.listener.stopping:
@@ -306,7 +306,8 @@
 class Listener:
     def __init__(self, address: tuple[str, int], most: int, counters: Counters,
                  session: Callable[[Callable[[], None]], Session], patience: Patience,
-                 busy: bytes, inherited: int | None = None, drain: Drain | None = None) -> None:  # fmt: skip
+                 busy: bytes, inherited: int | None = None, drain: Drain | None = None,
+                 gate: Gate | None = None) -> None:  # fmt: skip
         """`inherited`: a listening socket's descriptor, used instead of binding `address`; else ListenError.
 
         At an upgrade the platform holds the clients' socket and both processes share it: binding the address
@@ -318,7 +319,7 @@
         self.lingering: dict[Connection, None] = {}  # ended by us, not yet by their clients; the oldest first
         self._full_at = 0.0  # since when no client could be let in
         self.stopping = False
-        self.drain = drain or Drain()
+        self.drain, self.gate = drain or Drain(), gate or Gate()
         self._sock = listen_at(address, BACKLOG, inherited)
         self.address = self._sock.getsockname()
         self._greenlets = [gevent.spawn(self._accept), gevent.spawn(self._sweep)]
@@ -328,15 +329,17 @@
         self.stopping = True
         self._greenlets[0].kill()
         self._sock.setblocking(False)
-        tries = EXHAUSTED_TRIES
+        tries = STOP_TRIES
         while tries:  # whoever the system has let in already may have sent a request
             try:
                 self._admit(self._sock.accept()[0])
             except OSError as error:
-                if error.errno not in EXHAUSTED:
-                    break
+                kind = accept_error(error)
+                if kind in (AcceptError.EMPTY, AcceptError.BROKEN):
+                    break  # nothing runs between the look that found nobody and the close
                 tries -= 1
-                self._make_room(at_once=True)
+                if kind is AcceptError.EXHAUSTED:
+                    self._make_room(at_once=True)
             gevent.sleep(0)  # sockets that were closed are given back in the event loop's turn
         self._sock.close()
         self._finish()
@@ -356,7 +359,7 @@
     def leave(self) -> bool:
         """At the exit: end what is left, such as half requests. Whether a client has yet to see it."""
         for connection in list(self.connections):
-            connection.end()
+            connection.end(planned=False)
         return bool(self.lingering)
 
     def idle(self) -> bool:
@@ -382,10 +385,11 @@
                 sock, _ = self._sock.accept()
             except OSError as error:
                 self.counters.add("errors.accept")
-                if error.errno in EXHAUSTED:
+                kind = accept_error(error)
+                if kind is AcceptError.EXHAUSTED:
                     self._make_room(at_once=True)
-                    gevent.sleep(EXHAUSTED_REST_S)
-                gevent.sleep(0)  # whatever is wrong with the door, those inside are served
+                # Whatever is wrong with the listening socket, those inside are served.
+                gevent.sleep(0 if kind is AcceptError.PASSING else EXHAUSTED_REST_S)
                 continue
             self._admit(sock)
             self._relieve()
@@ -409,8 +413,8 @@
     def _admit(self, sock: socket.socket) -> None:
         try:
             over = self._full() and not self._make_room(at_once=True)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = Connection(sock, self)
+            client = ClientSocket(sock)
+            connection = Connection(client, self)
         except OSError:
             self.counters.add("errors.accept")
             sock.close()
@@ -423,8 +427,8 @@
         # still be on its way; a close over it would reset the connection, and the word would be lost.
         self.counters.add("clients.over_sockets")
         with contextlib.suppress(OSError):
-            sock.send(self.busy)
-        connection.end()
+            client.write_all(self.busy)
+        connection.end(planned=False)
         while len(self.connections) + len(self.lingering) > self.most + LINGER_MOST and self.lingering:
             next(iter(self.lingering)).close()
 
@@ -448,7 +452,7 @@
                 if at_once:
                     connection.close()
                 else:
-                    connection.end()
+                    connection.end(planned=False)
                 return True
         return False
 
@@ -460,7 +464,7 @@
             for connection in [c for c in self.connections if c.stalled(now)]:
                 self.counters.add("clients.stalled")
                 if connection.answered():
-                    connection.end()
+                    connection.end(planned=False)
                 else:
                     connection.close()  # it never reads its answer
             for connection in list(self.lingering):
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -2,24 +2,27 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import math
-import select
 import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import gevent
-from gevent import GreenletExit, socket
+from gevent import GreenletExit
 from gevent.event import Event
 
-from rackseam.interface import NodeState, Outcome
+from rackseam.interface import Outcome
 from stackrouter.core.counters import Counters
+from stackrouter.core.gate import Denial, Gate
 from stackrouter.core.model import Attempt, Reply, Step
+from stackrouter.core.violations import ViolationLog
 from stackrouter.errors import NodeSocketsError, defect, tell
+from stackrouter.net.node_socket import DeniedError, NodeSocket
 from stackrouter.net.ring import Ring
+from stackrouter.net.socket_errors import connect_failed_locally
 
 log = logging.getLogger(__name__)
 
@@ -99,29 +102,19 @@
 
 @dataclass(slots=True, eq=False)
 class Connection:
-    sock: socket.socket
+    sock: NodeSocket
     wire: str
-    address: tuple[str, int]
     inbox: Ring = field(default_factory=lambda: Ring(LARGEST_REPLY))
     used_at: float = 0.0
     lease: Lease | None = None
 
-    def end(self) -> None:
-        """Shut down at once: closing alone waits for a turn of the event loop."""
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
-
-    def usable(self) -> bool:
-        """Idle connections carry nothing: bytes, an end or an error make one useless."""
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
-
 
 class Pool:
     def __init__(self, most: int, budget: int, connect_timeout_us: int, keepalive_us: int, counters: Counters,
-                 ended: Callable[[Attempt, Reply], None]) -> None:  # fmt: skip
+                 ended: Callable[[Attempt, Reply], None], gate: Gate | None = None,
+                 violations: ViolationLog | None = None) -> None:  # fmt: skip
+        """`gate`: what all writes ask; `violations`: told what was written when."""
+        self.gate, self.violations = gate or Gate(), violations
         self.most, self.counters, self.ended = most, counters, ended
         self.connect_s, self.idle_s = connect_timeout_us / 1e6, keepalive_us / 1e6 * IDLE_PART
         self.written: Callable[[Attempt], None] | None = None  # to be told when an attempt is written whole
@@ -168,40 +161,26 @@
         self.ended(attempt, reply)
 
     def _exchange(self, attempt: Attempt) -> Reply:
-        connection, fresh = self._take_idle(attempt), False
-        if connection is None:
-            opened, fresh = self._connect(attempt), True
-            if isinstance(opened, Outcome):
-                return Reply(opened)
-            connection = opened
-        if not attempt.may_write(_now_us()) or connection.address != attempt.address:
+        try:
+            connection, fresh = self._take_idle(attempt), False
+            if connection is None:
+                opened, fresh = self._connect(attempt), True
+                if isinstance(opened, Outcome):
+                    return Reply(opened)
+                connection = opened
+        except DeniedError as denied:
+            return self._denied(denied.denial)
+        began, idle_s = time.monotonic(), None
+        if not fresh:
+            idle_s = began - connection.used_at
+        try:
+            reply = self._talk(attempt, connection, fresh)
+        except DeniedError as denied:
             # Guards the drain rule: the node was told to drain, to be gone or elsewhere while this waited.
             self.counters.add("attempts.not_written")
-            self._keep(attempt, connection)
-            return Reply(Outcome.MOOT)
-        began, exchange = time.monotonic(), attempt.request.exchange()
-        idle_s = None if fresh else began - connection.used_at
-        wait_us = max(0, attempt.deadline_us - _now_us())
-        try:
-            step: Step | Reply | None = exchange.start(wait_us, fresh)
-            while not isinstance(step, Reply):
-                if step is not None:
-                    if step.effective and not attempt.may_have_run and not attempt.may_write(_now_us()):
-                        return Reply(Outcome.MOOT)
-                    connection.sock.sendall(step.data)
-                    attempt.may_have_run = attempt.may_have_run or step.effective
-                    if step.effective and self.written is not None:
-                        self.written(attempt)
-                elif exchange.needs > connection.inbox.bound:
-                    connection.lease = self.budget.take(exchange.needs + LARGEST_REPLY)
-                    if connection.lease is None:
-                        self.counters.add("nodes.over_memory")
-                        return Reply(Outcome.ERROR)
-                    connection.inbox.reserve(exchange.needs + LARGEST_REPLY)
-                    continue
-                elif not connection.inbox.room or not connection.inbox.receive(connection.sock):
-                    raise ConnectionResetError("the node ended the connection")
-                step = exchange.received(connection.inbox)
+            if not denied.begun and not attempt.may_have_run:
+                self._keep(attempt, connection)
+            return self._denied(denied.denial, attempt.may_have_run)
         except OSError:
             if attempt.may_have_run:
                 if attempt in self._busy:  # else it was given up here, and no node has reset it
@@ -211,14 +190,52 @@
             return Reply(Outcome.CONNECT_FAILED if fresh else Outcome.MOOT)
         self.reuse.note(idle_s, False, began)
         if connection.lease is not None:
-            step = replace(step, lease=connection.lease)
+            reply = replace(reply, lease=connection.lease)
             connection.lease, connection.inbox.bound = None, LARGEST_REPLY
-        if step.exact and not len(connection.inbox):
+        if reply.exact and not len(connection.inbox):
             self._keep(attempt, connection)
         else:
             self.counters.add("nodes.spoilt")
+        return reply
+
+    def _denied(self, denial: Denial, may_have_run: bool = False) -> Reply:
+        self.counters.add(f"denied.{denial.value}")
+        return Reply(Outcome.RESET if may_have_run else Outcome.MOOT, denial=denial.value)
+
+    def _talk(self, attempt: Attempt, connection: Connection, fresh: bool) -> Reply:
+        """The attempt's exchange with the node. OSError, DeniedError: it broke off."""
+        exchange = attempt.request.exchange()
+        told_us = self.gate.wait_told_us(attempt, _now_us())
+        step: Step | Reply | None = exchange.start(told_us, fresh)
+        while not isinstance(step, Reply):
+            if step is not None:
+                self._write(attempt, connection, step, told_us)
+            elif exchange.needs > connection.inbox.bound:
+                connection.lease = self.budget.take(exchange.needs + LARGEST_REPLY)
+                if connection.lease is None:
+                    self.counters.add("nodes.over_memory")
+                    return Reply(Outcome.ERROR)
+                connection.inbox.reserve(exchange.needs + LARGEST_REPLY)
+                continue
+            elif not connection.inbox.room or not connection.sock.read(connection.inbox):
+                raise ConnectionResetError("the node ended the connection")
+            step = exchange.received(connection.inbox)
         return step
 
+    def _write(self, attempt: Attempt, connection: Connection, step: Step, told_us: int) -> None:
+        connection.sock.write(attempt, step.data, partial(self._first_byte, attempt, step))
+        if not step.effective:
+            return
+        attempt.may_have_run = True
+        if self.violations is not None:
+            self.violations.written(attempt, told_us, _now_us())
+        if self.written is not None:
+            self.written(attempt)
+
+    def _first_byte(self, attempt: Attempt, step: Step, at_us: int) -> None:
+        if step.effective and self.violations is not None:
+            self.violations.first_byte(attempt, at_us)
+
     # --- connections
 
     def _take_idle(self, attempt: Attempt) -> Connection | None:
@@ -237,7 +254,7 @@
                     raise GreenletExit  # given up, and the connection closed, while this waited
             unused_s = time.monotonic() - connection.used_at
             usable = unused_s < self.idle_s and self.reuse.trusted(unused_s)
-            if usable and connection.address == attempt.address and connection.usable():
+            if usable and connection.sock.address == attempt.address and connection.sock.quiet():
                 return connection
             self._busy[attempt] = (self._busy[attempt][0], None)
             self._drop(connection)
@@ -245,23 +262,26 @@
 
     def _connect(self, attempt: Attempt) -> Connection | Outcome:
         """A new connection; MOOT where it is no fault of the node's that there is none."""
+        denial = self.gate.may_open(attempt, _now_us())
+        if denial is not None:
+            raise DeniedError(denial, begun=False)
         try:
             if self._count >= self.most and not self._drop_oldest_idle():
                 raise OSError("every socket for nodes is in use")
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = NodeSocket(self.gate, _now_us)
         except OSError as error:
             self.counters.add("nodes.over_sockets")
             tell(log, NodeSocketsError(error, address=attempt.node.name), "attempt")
             return Outcome.MOOT
-        connection = Connection(sock, attempt.request.wire, attempt.address)
+        connection = Connection(sock, attempt.request.wire)
         self._count += 1
         self._busy[attempt] = (self._busy[attempt][0], connection)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(self.connect_s)
-            sock.connect(attempt.address)
-            sock.settimeout(None)
-        except OSError:
+            sock.connect(attempt.address, self.connect_s)
+        except OSError as error:
+            if connect_failed_locally(error):
+                self.counters.add("nodes.connect_failed_locally")
+                return Outcome.MOOT
             self.counters.add("nodes.connect_failed")
             return Outcome.CONNECT_FAILED
         self.counters.add("nodes.connected")
@@ -270,7 +290,7 @@
     def _keep(self, attempt: Attempt, connection: Connection) -> None:
         if self._busy.pop(attempt, None) is None:
             return  # given up, and so closed, in the meantime
-        if attempt.node.state is NodeState.GONE:
+        if self.gate.may_keep(attempt.node, clean=not len(connection.inbox)) is not None:
             self._drop(connection)
             return
         connection.used_at = time.monotonic()
@@ -278,7 +298,7 @@
 
     def _drop(self, connection: Connection) -> None:
         self._count -= 1
-        connection.end()
+        connection.sock.end()
 
     def _drop_oldest_idle(self) -> bool:
         held = [(c[0].used_at, name) for name, c in self._idle.items() if c]
@@ -295,6 +315,6 @@
             for name, idle in list(self._idle.items()):
                 if not idle:
                     del self._idle[name]  # ids of nodes come and go for as long as the program runs
-                for connection in [c for c in idle if c.used_at < oldest or not c.usable()]:
+                for connection in [c for c in idle if c.used_at < oldest or not c.sock.quiet()]:
                     idle.remove(connection)
                     self._drop(connection)
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -15,6 +15,7 @@
 from gevent.event import Event
 
 from stackrouter.core.counters import Counters
+from stackrouter.core.gate import ClientState, Denial
 from stackrouter.core.model import Inbox
 from stackrouter.net import listener as listening
 from stackrouter.net.listener import Connection, Listener, MalformedError, Patience
@@ -155,19 +156,20 @@
     # --- a planned close, and a request in its very moment
 
     def crossed(self, connection: Connection, sock: socket.socket, end: Callable[[], object]) -> None:
-        """`end` ends the connection; between its last look at the socket and the end a request arrives."""
-        look = connection._readable
+        """`end` ends the connection; between the gate's word and the end a request arrives."""
+        gate = connection.listener.gate
+        may_close = gate.may_close
 
-        def late() -> bool:
-            seen = look()
-            if not seen:
+        def late(client: ClientState) -> Denial | None:
+            denial = may_close(client)
+            if denial is None:
                 sock.sendall(b"late\n")
                 poll = select.poll()
-                poll.register(connection.sock.fileno(), select.POLLIN)
+                poll.register(connection._sock._sock.fileno(), select.POLLIN)
                 self.assertTrue(poll.poll(1000), "arrived")
-            return seen
+            return denial
 
-        with mock.patch.object(connection, "_readable", late):
+        with mock.patch.object(gate, "may_close", late):
             end()
         session = self.sessions[-1]
         self.assertEqual(sock.recv(100), b"", "an end, and no reset that could take an answer with it")
@@ -304,7 +306,7 @@
                 sock, connection = self.asked(door)
                 sock.sendall(b"last\n")
                 poll = select.poll()
-                poll.register(connection.sock.fileno(), select.POLLIN)
+                poll.register(connection._sock._sock.fileno(), select.POLLIN)
                 self.assertTrue(poll.poll(1000))
                 door.stop()
                 self.assertEqual(sock.recv(100), b"last\n")
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,7 +18,8 @@
 # What no operator sees. Peers' mistakes and control flow: caught where they are answered on the wire.
 WITHIN = {
     "ShortError", "ProtocolError", "MalformedError", "BadCommandError", "PacketError", "RequestError",
-    "HurriedError", "ConnectionResetError", "BufferError", "OSError", "TimeoutError", "GreenletExit", "Exit",
+    "HurriedError", "DeniedError", "ConnectionResetError", "BufferError", "OSError", "TimeoutError",
+    "GreenletExit", "Exit",
 }  # fmt: skip
 # Where a bare ValueError tells one module of ours that bytes or arguments are no good, and is caught there.
 VALUE_ERRORS = {"accounts/sketch.py", "trace/codec.py", "trace/format.py"}
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -65,7 +65,7 @@
     def start(self, cancel: bool = True) -> Engine:
         settings = Settings(classes=CLASSES, plans=(Plan(),), max_attempts=3, may_cancel=cancel, step_us=2000)
         engine = Engine(settings, 100, Counters())
-        pool = Pool(10, 1 << 20, 250_000, 15_000_000, engine.counters, engine.ended)
+        pool = Pool(10, 1 << 20, 250_000, 15_000_000, engine.counters, engine.ended, engine.gate)
         engine.transport = pool
         connect = pool._connect
 
@@ -154,6 +154,29 @@
         wait_until(lambda: bool(results), "answered")
         self.assertEqual((len(self.commands), results[0].verdict), (1, Verdict.FAILED))
 
+    def test_a_connect_that_fails_by_this_machine_is_not_held_against_the_node(
+        self,
+    ) -> None:
+        """Two of them in a row made the node count as silent, and its requests waited."""
+        connect = socket.socket.connect
+        for number in (errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.EINTR, errno.EAGAIN):
+            with self.subTest(errno.errorcode[number]):
+                engine = self.start()
+                self.replies = [SERVED]
+                fails = [OSError(number, "for a moment")] * 2
+
+                def failing(sock: Any, address: Any, fails: list[OSError] = fails) -> None:
+                    if fails:
+                        raise fails.pop()
+                    connect(sock, address)
+
+                with mock.patch.object(socket.socket, "connect", failing):
+                    _, results = self.ask(engine)
+                    wait_until(lambda r=results: bool(r), "answered")  # type: ignore[misc]
+                self.assertIs(results[0].verdict, Verdict.SERVED)
+                self.assertEqual(engine.controller.nodes["n"].broken, 0)
+                self.assertEqual(engine.counters["attempts.connect_failed"], 0)
+
     def test_a_read_or_a_write_that_fails_in_passing_is_made_again(self) -> None:
         """It ended the attempt as a reset, which may have run, and for a client its connection."""
         for name in ("recv_into", "send"):
