Add fleet soak: real gateways under overlapping faults, judged by clients, nodes and discovery

Change: stackrouter/soak/ draws faults from a seed (system calls that fail or are short, SIGSTOP, wall clocks an hour off, drains, hangs, resets, agents that are silent, slow or of another history, SIGTERM with the earliest SIGKILL, SIGKILL, SIGHUPs in a row, clients that leave or stop half way), plays them on real processes and judges by records that are not the gateways' own. fleet soak, benchmarks/soak_sweep.py. Not there yet: folders that are full or return EIO (the gateway keeps none unless its operator's file says so), the budget of cold nodes, a proxy that cuts half-way.

--- /dev/null
+++ b/benchmarks/soak_sweep.py
@@ -0,0 +1,47 @@
+"""Many seeds of `stackrouter fleet soak`, a few at a time, one line of JSON each.
+
+    python benchmarks/soak_sweep.py --first 1 --runs 50 --parallel 3 --out sweep.jsonl [-- OPTIONS]
+
+Exit code 1 if a seed failed. Each soak is a process tree of its own, of some 25 processes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+
+def play(seed: int, options: list[str]) -> dict[str, object]:
+    """One soak; its last line."""
+    command = [sys.executable, "-m", "stackrouter.cli.main", "fleet", "soak", "--seed", str(seed), "--json"]
+    done = subprocess.run([*command, *options], capture_output=True, text=True, check=False)
+    lines = done.stdout.strip().splitlines()
+    result = json.loads(lines[-1]) if lines else {"seed": seed, "crashes": [done.stderr[-400:]]}
+    return {**result, "exit": done.returncode}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=50)
+    parser.add_argument("--parallel", type=int, default=2)
+    parser.add_argument("--out", type=Path, required=True)
+    parser.add_argument("options", nargs="*")
+    args = parser.parse_args()
+    seeds = range(args.first, args.first + args.runs)
+    failed = 0
+    with ThreadPoolExecutor(args.parallel) as pool, args.out.open("a", encoding="utf-8") as file:
+        for result in pool.map(lambda seed: play(seed, args.options), seeds):
+            failed += bool(result["exit"])
+            file.write(json.dumps(result) + "\n")
+            file.flush()
+    print(f"{len(seeds)} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/stackrouter/cli/fleet.py
+++ b/stackrouter/cli/fleet.py
@@ -8,12 +8,13 @@
 
 import typer
 
-from stackrouter.cli import scale
+from stackrouter.cli import scale, soak
 from stackrouter.cli.shared import NOT_SO, AsJson, bar, out, print_json
 from stackrouter.errors import OptionError
 
 app = typer.Typer(no_args_is_help=True, help="Several gateways, with faults between them.")
 app.command("scale")(scale.scale)
+app.command("soak")(soak.soak)
 
 FEWEST, MOST = 1, 64  # as many as the operator's file names peers
 
--- /dev/null
+++ b/stackrouter/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real gateways on loopback under random, overlapping faults, judged by what others saw of them."""
--- /dev/null
+++ b/stackrouter/soak/gateway_process.py
@@ -0,0 +1,137 @@
+"""A gateway whose system calls fail at times and whose wall clock is off: the program under a shim.
+
+Run as `python -m stackrouter.soak.gateway_process`; SOAK_FAULTS holds `schedule.ProcessFaults` as JSON, and
+SOAK_PLANTED names a rule whose guard is taken out, so that a test can see the soak find what follows.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import random
+import sys
+import time
+from dataclasses import replace
+from typing import Any
+
+import gevent.socket
+
+from rackseam.interface import Effect, ListKind
+from stackrouter import config as configuration
+
+_PASSING = (errno.EINTR, errno.ENOBUFS, errno.ENOMEM)
+_ACCEPT = (errno.ECONNABORTED, errno.EINTR, errno.EPROTO, errno.ENFILE, errno.ENOBUFS, errno.ENETDOWN)
+_CONNECT = (errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENETUNREACH, errno.EINTR, errno.EAGAIN)
+_SOCKET = (errno.ENFILE, errno.ENOBUFS)
+SHORT_BYTES = 7  # what a short read or write transfers
+
+
+class _Chance:
+    rng = random.Random()
+    share = 0.0
+
+    @classmethod
+    def fail(cls, numbers: tuple[int, ...]) -> None:
+        if cls.rng.random() < cls.share:
+            number = cls.rng.choice(numbers)
+            raise OSError(number, os.strerror(number))
+
+    @classmethod
+    def short(cls) -> bool:
+        return cls.rng.random() < cls.share
+
+
+def _wrap_sockets(base: Any) -> None:
+    """Replace the calls of gevent's socket type with ones that fail or are short by chance."""
+    accept, connect, send, receive = base.accept, base.connect, base.send, base.recv_into
+
+    def failing_accept(self: Any) -> Any:
+        _Chance.fail(_ACCEPT)
+        return accept(self)
+
+    def failing_connect(self: Any, address: Any) -> Any:
+        _Chance.fail(_CONNECT)
+        return connect(self, address)
+
+    def failing_send(self: Any, data: Any, *rest: Any, **named: Any) -> int:
+        _Chance.fail(_PASSING)
+        return int(send(self, data[:SHORT_BYTES] if _Chance.short() else data, *rest, **named))
+
+    def failing_receive(self: Any, buffer: Any, *rest: Any) -> int:
+        _Chance.fail(_PASSING)
+        return int(receive(self, buffer[:SHORT_BYTES] if _Chance.short() else buffer, *rest))
+
+    base.accept, base.connect = failing_accept, failing_connect
+    base.send, base.recv_into = failing_send, failing_receive
+
+
+def _step_wall_clock(step_s: float) -> None:
+    real_ns, real_s = time.time_ns, time.time
+    time.time_ns = lambda: real_ns() + round(step_s * 1e9)
+    time.time = lambda: real_s() + step_s
+
+
+def _plant(rule: str) -> None:
+    """Take the guard of a rule out."""
+    from stackrouter.core.gate import Gate
+    from stackrouter.net.discovery import Discovery
+    from stackrouter.net.list_taker import ListTaker
+
+    if rule == "drain":
+        Discovery.start_with = Discovery._take_first  # type: ignore[method-assign]
+        Gate.may_open = lambda *_: None  # type: ignore[method-assign]
+        Gate.may_write = lambda *_: None  # type: ignore[method-assign]
+        take = ListTaker.take
+        ListTaker.take = (  # type: ignore[method-assign]
+            lambda self, kind, *rest: take(self, kind, *rest) if kind is ListKind.CACHED else None
+        )
+    elif rule == "lost":
+        from stackrouter.core.engine import Engine
+
+        Engine.withdraw = lambda *_: None  # type: ignore[method-assign]
+    elif rule == "deadline":
+        Gate.wait_told_us = lambda *_: 60_000_000  # type: ignore[method-assign]
+    elif rule == "unanswered":
+        from stackrouter.core.engine import Engine
+
+        answer = Engine._answer
+
+        def forget_some(self: Any, request: Any, result: Any) -> None:
+            """One request in ten gets no answer."""
+            request.answered = request.answered or request.id.endswith("7")
+            answer(self, request, result)
+
+        Engine._answer = forget_some  # type: ignore[method-assign,assignment]
+    elif rule == "second_copy":
+        from stackrouter.net.pool import Pool
+
+        Pool.give_up = lambda *_: None  # type: ignore[method-assign]
+    elif rule == "duplicate":
+        settings_of = configuration.settings_of  # type: ignore[attr-defined]
+
+        def all_safe(*args: Any) -> Any:
+            """As if no class minded to run twice."""
+            settings = settings_of(*args)
+            return replace(settings, classes=tuple(replace(c, effect=Effect.SAFE) for c in settings.classes))
+
+        configuration.settings_of = all_safe  # type: ignore[attr-defined,assignment]
+
+
+def main() -> int:
+    """The program, with what SOAK_FAULTS says."""
+    faults = json.loads(os.environ["SOAK_FAULTS"])
+    _Chance.rng, _Chance.share = random.Random(faults["seed"]), faults["failing_share"]
+    if faults["failing_share"]:
+        _wrap_sockets(gevent.socket.socket)
+    if faults["wall_step_s"]:
+        _step_wall_clock(faults["wall_step_s"])
+    if planted := os.environ.get("SOAK_PLANTED"):
+        _plant(planted)
+    from stackrouter.__main__ import main as program
+
+    return program()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/stackrouter/soak/nodes.py
@@ -0,0 +1,161 @@
+"""Storage nodes on loopback that note what reaches them, and hang, reset or move as they are told."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import struct
+import time
+from typing import Final
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from stackrouter.soak.records import Arrival, Records
+
+SERVICE_S: Final = (0.001, 0.02)
+HANG_STEP_S: Final = 0.02
+_RESET: Final = struct.pack("ii", 1, 0)
+
+
+class SoakNode:
+    """One storage node: where it listens changes when it comes back after it was removed."""
+
+    def __init__(self, name: str, shard: int, records: Records, seed: int) -> None:
+        self.name, self.shard, self.records = name, shard, records
+        self.since_ms = 0
+        self._rng = random.Random(f"{seed} {name}")
+        self._hangs_until = 0.0
+        self._busy = False  # answers -BUSY, as a node that drains
+        self._sockets: dict[socket.socket, Arrival | None] = {}  # with the attempt that is out on it
+        self._former: list[StreamServer] = []
+        self._server = self._listen()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def _listen(self) -> StreamServer:
+        server = StreamServer(("127.0.0.1", 0), self._serve)
+        server.start()
+        return server
+
+    def drain(self) -> None:
+        """Finishes what it has and turns new work away."""
+        self._busy = True
+
+    def come_back(self) -> None:
+        """As a new process under the same name, elsewhere. The old address goes on noting what comes."""
+        self._busy = False
+        self._former.append(self._server)
+        self._server = self._listen()
+        self.since_ms = int(time.time() * 1000)
+
+    def hang(self, length_s: float) -> None:
+        """Swallow what comes, and answer nothing, for a while."""
+        self._hangs_until = time.monotonic() + length_s
+
+    def reset(self) -> None:
+        """Reset all connections, also under requests."""
+        for sock, arrival in list(self._sockets.items()):
+            if arrival is not None:
+                arrival.ended_at = time.monotonic()
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+                sock.close()
+
+    def stop(self) -> None:
+        for server in (self._server, *self._former):
+            server.stop(timeout=0)
+        for sock in list(self._sockets):
+            sock.close()
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        address = "{}:{}".format(*sock.getsockname())
+        self._sockets[sock] = None
+        arrival: Arrival | None = None
+        try:
+            data = b""
+            first_at = 0.0
+            while piece := sock.recv(65536):
+                first_at = first_at if data else time.monotonic()
+                data += piece
+                words, rest = split_command(data)
+                if words is None:
+                    continue
+                data = rest
+                arrival = self._arrived(sock, words, address, first_at)
+                self._sockets[sock] = arrival
+                if arrival is not None and self._answer(sock, words, arrival):
+                    arrival = self._sockets[sock] = None
+        except OSError:
+            pass
+        finally:
+            if arrival is not None and arrival.ended_at is None:
+                arrival.ended_at = time.monotonic()
+            self._sockets.pop(sock, None)
+            sock.close()
+
+    def _arrived(
+        self, sock: socket.socket, words: list[bytes], address: str, first_at: float
+    ) -> Arrival | None:
+        request = self.records.requests.get(words[2].decode())
+        if request is None:
+            return None
+        fields = dict(pair.split("=", 1) for pair in words[3].decode().split(","))
+        told_s = int(fields["d"]) / 1000
+        arrival = Arrival(self.name, address, first_at, time.monotonic(), told_s, lambda: not _ended(sock))
+        for earlier in request.arrivals:
+            if earlier.ended_at is None and earlier.is_open():
+                arrival.beside = earlier.node
+        request.arrivals.append(arrival)
+        return arrival
+
+    def _answer(self, sock: socket.socket, words: list[bytes], arrival: Arrival) -> bool:
+        """Whether the attempt has ended; its connection can carry another."""
+        if self._busy or sock.getsockname()[1] != self._server.server_port:
+            sock.sendall(b"-BUSY\r\n")
+            arrival.ended_at = time.monotonic()
+            return True
+        arrival.ran = True
+        gevent.sleep(self._rng.uniform(*SERVICE_S))
+        while time.monotonic() < self._hangs_until:
+            gevent.sleep(HANG_STEP_S)
+            if _ended(sock):
+                arrival.ended_at = time.monotonic()
+                return True
+        value = b"v" + words[1]
+        arrival.ended_at = arrival.ended_at or time.monotonic()
+        sock.sendall(b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value))
+        return True
+
+
+def _ended(sock: socket.socket) -> bool:
+    """Its other end has closed, as far as that can be seen without waiting."""
+    if sock.fileno() < 0:
+        return True
+    sock.settimeout(0.0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(None)
+
+
+def split_command(data: bytes) -> tuple[list[bytes] | None, bytes]:
+    """The first whole command's words and what follows it; None: it is not whole yet."""
+    head, found, rest = data.partition(b"\r\n")
+    if not found:
+        return None, data
+    words = []
+    for _ in range(int(head[1:])):
+        size, found, rest = rest.partition(b"\r\n")
+        if not found or len(rest) < int(size[1:]) + 2:
+            return None, data
+        words.append(rest[: int(size[1:])])
+        rest = rest[int(size[1:]) + 2 :]
+    return words, rest
--- /dev/null
+++ b/stackrouter/soak/processes.py
@@ -0,0 +1,224 @@
+"""The gateways of a soak as processes: started, stopped, killed and started again."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket as plain
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import asdict, replace
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+
+from stackrouter.soak.agents import Agent
+from stackrouter.soak.clients import CLASSES, GatewayClients, GatewayState
+from stackrouter.soak.options import SoakOptions
+from stackrouter.soak.records import Life, Records
+from stackrouter.soak.schedule import process_faults
+
+POLL_S: Final = 0.01
+READY_MOST_S: Final = 30.0
+KILL_AFTER_S: Final = max(c.deadline_s for c in CLASSES) + 0.7  # after SIGTERM, the earliest that is allowed
+KEY_WINDOW_S: Final = 0.8
+
+
+def settings(options: SoakOptions) -> dict[str, Any]:
+    """The platform's settings, in its own words."""
+    effects = {"match-read": "safe", "turn-write": "keyed", "turn-add": "unsafe"}
+    profiles = [
+        {"Name": c.name, "Effect": effects[c.name], "AimUs": 400_000,
+         "HardLimitUs": round(c.deadline_s * 1e6), "Group": "cell", "Gain": 2.0,
+         "KeyTtlUs": round(KEY_WINDOW_S * 1e6) if c.keyed else 0}
+        for c in CLASSES
+    ]  # fmt: skip
+    return {
+        "Balancers": options.gateways,
+        "Caps": {"Cancel": True, "ConnectTimeoutUs": 250_000, "KeepaliveUs": 15_000_000, "MaxAttempts": 3,
+                 "MaxOpen": 4000, "MaxRetryAfterUs": 2_000_000},
+        "FamilyInfo": {"ClassWrites": [False, True, True], "MaxUnits": 8, "MeanUnits": 1.0,
+                       "MeterUs": 1_000_000},
+        "Grades": [{"Name": "basic", "UsualRate": 9.0},
+                   {"Name": "priority", "Shares": 3.0, "UsualRate": 9.0}],
+        "Kinds": ["std"],
+        "Obligations": {"AnswerSlackUs": 8000, "DrainGraceUs": 250_000},
+        "Profiles": profiles,
+        "StepUs": 2000,
+        "Zones": ["hall-a"],
+    }  # fmt: skip
+
+
+def repeat_windows_s() -> dict[str, float | None]:
+    """By class, for how long a repeat may follow an attempt that may have run; None: for ever."""
+    return {"match-read": None, "turn-write": KEY_WINDOW_S, "turn-add": 0.0}
+
+
+class SoakGateway:
+    """One gateway: its process, its agent and its clients."""
+
+    def __init__(
+        self, number: int, options: SoakOptions, agent: Agent, records: Records, folder: Path
+    ) -> None:
+        self.number, self.options, self.agent, self.records = number, options, agent, records
+        self.folder = folder
+        with plain.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            self.state = GatewayState(sock.getsockname())
+        self.clients: GatewayClients | None = None
+        self.crashes: list[str] = []
+        self.restarts = self.not_ready_10s = 0
+        self._program: subprocess.Popen[bytes] | None = None
+        self._lives = records.lives.setdefault(number, [])
+        self._busy = False  # a restart is under way
+
+    @property
+    def log(self) -> Path:
+        return self.folder / f"g{self.number}.log"
+
+    def start(self) -> None:
+        """A new process with the list that the agent has now; it is not ready yet."""
+        self._write_config(known=self.agent.listing())
+        faults = process_faults(self.options, self.number, len(self._lives))
+        environ = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "SOAK_"))}
+        environ |= {"GW_CONFIG": str(self.folder / f"g{self.number}.json"),
+                    "SOAK_FAULTS": json.dumps(asdict(faults)),
+                    "SOAK_PLANTED": self.options.planted}  # fmt: skip
+        with self.log.open("ab") as log:
+            command = [sys.executable, "-m", "stackrouter.soak.gateway_process"]
+            self._program = subprocess.Popen(
+                command, env=environ, stdout=log, stderr=log, start_new_session=True
+            )
+        self.agent.process_started()
+        self._lives.append(Life(time.monotonic()))
+        self.state.ready, self.state.terminated_at, self.state.killed_at = False, None, None
+
+    def _write_config(self, known: dict[str, Any] | None = None) -> None:
+        path = self.folder / f"g{self.number}.json"
+        config = json.loads(path.read_text()) if path.exists() else {
+            "name": f"g{self.number}", "listen": "{}:{}".format(*self.state.address),
+            "seed": f"{self.options.seed * 64 + self.number:x}",
+            "limits": {"memory_mb": 96, "sockets": 512},
+            "settings": {**settings(self.options), "Position": self.number},
+        }  # fmt: skip
+        config["discovery"] = self.agent.address
+        if known is not None:
+            config["known"] = known
+        whole = path.with_suffix(".new")
+        whole.write_text(json.dumps(config))
+        whole.rename(path)
+
+    def await_ready(self) -> bool:
+        """Until PING is answered. False: not within `READY_MOST_S`."""
+        began = time.monotonic()
+        while time.monotonic() - began < READY_MOST_S:
+            if self._answers_ping():
+                self._lives[-1] = replace(self._lives[-1], ready_at=time.monotonic())
+                self.state.ready = True
+                self.not_ready_10s += time.monotonic() - began > 10.0
+                return True
+            if self._look_for_crash():
+                return False
+            gevent.sleep(POLL_S)
+        self.crashes.append(f"g{self.number}: not ready within {READY_MOST_S:.0f} s")
+        return False
+
+    def _answers_ping(self) -> bool:
+        try:
+            with socket.create_connection(self.state.address, 1.0) as sock:
+                sock.sendall(b"*1\r\n$4\r\nPING\r\n")
+                return bool(sock.recv(100) == b"+PONG\r\n")
+        except OSError:
+            return False
+
+    def _look_for_crash(self) -> bool:
+        if self._program is None or self._program.poll() is None:
+            return False
+        self.crashes.append(f"g{self.number}: ended with {self._program.returncode}: {self._last_line()}")
+        return True
+
+    def _last_line(self) -> str:
+        lines = self.log.read_text(errors="replace").strip().splitlines()
+        return lines[-1] if lines else ""
+
+    # --- faults
+
+    def hold(self, length_s: float) -> None:
+        """The process stands still for a moment."""
+        program = self._program
+        if program is None or self._busy or program.poll() is not None:
+            return
+        program.send_signal(signal.SIGSTOP)
+        gevent.sleep(length_s)
+        program.send_signal(signal.SIGCONT)
+
+    def hang_up(self, times: int) -> None:
+        """SIGHUPs in a row, each with another place of discovery."""
+        for _ in range(times):
+            if self._busy or self._program is None or not self.state.ready:
+                return
+            self.agent.move()
+            self._write_config()
+            self._program.send_signal(signal.SIGHUP)
+            gevent.sleep(0.2)
+
+    def restart(self, down_s: float, by_term: bool) -> None:
+        """End the process, by SIGTERM or at once, and start it again."""
+        program = self._program
+        if self._busy or program is None or not self.state.ready:
+            return
+        self._busy = True
+        if by_term:
+            self._terminate(program)
+        else:
+            self.state.killed_at = time.monotonic()
+            program.kill()
+        program.wait()
+        self.state.ready = False
+        assert self.clients is not None
+        self.clients.forget_connections()
+        gevent.sleep(down_s)
+        self.start()
+        self.restarts += 1
+        self.await_ready()
+        self._busy = False
+
+    def _terminate(self, program: subprocess.Popen[bytes]) -> None:
+        self.state.terminated_at = time.monotonic()
+        program.send_signal(signal.SIGTERM)
+        while program.poll() is None:
+            if time.monotonic() - self.state.terminated_at > KILL_AFTER_S:
+                self.state.killed_at = time.monotonic()
+                program.kill()
+                program.wait()
+                return
+            gevent.sleep(POLL_S)
+        if program.returncode != 0:
+            self.crashes.append(
+                f"g{self.number}: SIGTERM ended with {program.returncode}: {self._last_line()}"
+            )
+
+    def stop(self) -> None:
+        """At the end of the run."""
+        program = self._program
+        if program is not None and program.poll() is None:
+            program.send_signal(signal.SIGCONT)
+            self._terminate(program)
+        elif program is not None and not self._busy:
+            self._look_for_crash()
+
+    def counted(self) -> Counter[str]:
+        """Rules that the gateway's processes counted as broken, from the counters that they printed."""
+        found: Counter[str] = Counter()
+        for line in self.log.read_text(errors="replace").splitlines():
+            if line.startswith("{"):
+                counts = json.loads(line)
+                found.update(
+                    {k.partition(".")[2]: v for k, v in counts.items() if k.startswith("violations.")}
+                )
+        return found
