Hear of an outage's end also behind a watch; repeat discovery's reads and writes that fail in passing

Cause: AGENT_WATCH_US let a watch whose wait ended within an outage wait 0.5 s more; net/list_call.py passed on EINTR, ENOBUFS, ENOMEM and local connect errors, each costing a rest. Ruled out: the gateways' check after the fact counted nothing, so they had not been told in their own view. Change: a late watch is silent after 50 ms and is followed by a call for changes; a call and a rest take 80 ms (100); reads, writes and connects of discovery's calls repeat by the table of errnos; SIGTERM and SIGINT are ignored once the gateway is done; each list taken is one log line. Soak: ports reserved below the system's own, no second SIGTERM, the story of a wrong request tells what was done to its gateway.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -275,6 +275,9 @@
     gc.set_threshold(GC_THRESHOLD)
     logger.info("listening on %s:%d, limits %s", *gateway.listeners[0].address, config.limits)
     gateway.serve()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second one while the interpreter ends would end the process by the signal.
+        signal.signal(number, signal.SIG_IGN)
     gateway.print_counters()
     if gateway.extras is not None:
         gateway.extras.close()
--- a/stackrouter/membership/asking.py
+++ b/stackrouter/membership/asking.py
@@ -24,8 +24,9 @@
   has handed on during the call does a lower number mean that the answer is older;
 - answers that come quicker than any watch, one after another, are followed by a rest within the 200 ms in
   which a watch goes on: a discovery whose numbers never settle must not be asked without a pause;
-- after silence nobody knows what was missed: the next call asks for the whole list. One that was turned away
-  was no silence: discovery still knows the version, and the cheapest call asks for changes.
+- after silence nobody knows what was missed: the next call asks for the whole list, but where an agent is
+  late with the end of a watch, a call for changes comes first. One that was turned away was no silence:
+  discovery still knows the version, and the cheapest call asks for changes.
 """
 
 from __future__ import annotations
@@ -127,7 +128,9 @@
         """Its answer has begun; returns until when it has to be whole."""
         return now + self.pace.body_us if self.pace.body_us else call.until_us
 
-    def answered(self, call: Call, now: int, version: int, whole: bool = False, news: bool = True) -> Verdict:
+    def answered(
+        self, call: Call, now: int, version: int, whole: bool = False, news: bool = False
+    ) -> Verdict:
         """Its answer came whole and can be read, also after the call had counted as silent: `whole` list or
         changes, with or without `news`. The next call begins at once: the watch goes on."""
         if call.answers != self._answers:
@@ -155,14 +158,16 @@
             wait, self._refused = self._refused, min(2 * self._refused, self.pace.refused_most_us)
             self._rest(now, wait)
 
-    def failed(self, call: Call, now: int) -> bool:
+    def failed(self, call: Call, now: int, silent: bool = False) -> bool:
         """Silent, broken off or not to be read. False: it was no longer the call that counts.
 
-        A silent call may still be answered, see `Call.late_until_us`."""
+        A silent call may still be answered, see `Call.late_until_us`. Where lists are pushed, a watch that is
+        `silent` once its wait is over may be late only: the next call asks for changes, at once."""
         if call is not self._call:
             return False
         wait, self._lost = self._lost, min(2 * self._lost, self.pace.lost_most_us)
-        self.index, self._sure = None, not self.pace.pushed
+        late_watch = silent and self.pace.pushed and call.wait_us > 0
+        self.index, self._sure = self.index if late_watch else None, not self.pace.pushed
         self._rest(now, wait)
         return True
 
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 from gevent.queue import Empty, SimpleQueue
 
-from rackseam.interface import ListKind
+from rackseam.interface import ListKind, NodeState
 from stackrouter.core.counters import Counters
 from stackrouter.errors import (
     DiscoveryError,
@@ -45,11 +45,11 @@
 LOST_US = 100_000  # rest after a failed call: within the 200 ms in which a watch goes on
 LOST_MOST_US = 1_000_000  # ... which has already waited, or costs little
 # Where lists are pushed, the agent on this machine answers at once and at no cost. After an outage a drain
-# that it has counts as told, and binds within the drain grace (250 ms). A call and a rest take 100 ms, so
-# that 150 ms are left in which the process may be held up.
-AGENT_US, AGENT_LOST_US = 60_000, 40_000
-AGENT_WATCH_US = 500_000  # a watch's answer after its wait: late where this machine is busy
-AGENT_BODY_US = 100_000  # the rest of an answer; a long list on a busy machine comes late
+# that it has counts as told, and binds within the drain grace (250 ms). A call and a rest take 80 ms, so that
+# 150 ms are left in which the process may be held up.
+AGENT_US, AGENT_LOST_US = 50_000, 30_000
+AGENT_WATCH_US = AGENT_US  # a watch's answer after its wait: an outage may end just then
+AGENT_BODY_US = 40_000  # the rest of an answer; a long list on a busy machine comes late
 # How long a silent call may still be answered, beside the calls after it.
 LATE_US, AGENT_LATE_US = 5_000_000, 2_500_000
 # Where lists are pushed, what the agent has binds from the first moment of a new process. So long the list
@@ -60,6 +60,7 @@
 # Calls a second that all gateways together make when they come back after being turned away: what is asked
 # beyond discovery's pace is turned away late, and delays all others by a turn.
 CALLS_S = 10.0
+NAMED_MOST = 8  # nodes that one log line names
 REFUSED_MOST_US = 5_200_000  # what discovery has counts as told 6 s later, heard or not
 
 
@@ -246,7 +247,7 @@
     def _fell_silent(self, call: Call) -> None:
         if len(self._under_way) > 1:
             self._give_up(call)
-        if self.asking.failed(call, monotonic_us()):
+        if self.asking.failed(call, monotonic_us(), silent=True):
             self._count_failure(TimeoutError())
 
     def _ended(self, event: _Ended) -> bool:
@@ -319,6 +320,12 @@
         if self._first is not None:
             known, self._first = self._first, None
             read = read if read.whole else known.changed_by(read)
+        if read.entries:
+            stopping = [entry.node for entry in read.entries if entry.state is not NodeState.READY]
+            log.info(
+                "list version %d%s: %d nodes, not ready: %s", read.version, " (whole)" if read.whole else "",
+                len(read.entries), " ".join(stopping[:NAMED_MOST]) or "none",
+            )  # fmt: skip
         if read.whole or read.entries:
             self.lists.take(read.kind, read.version, read.entries, read.addresses)
 
--- a/stackrouter/net/list_call.py
+++ b/stackrouter/net/list_call.py
@@ -5,13 +5,17 @@
 import select
 import time
 from collections.abc import Callable
+from functools import partial
+from typing import Final
 
 import httptools
 from gevent import socket
 
 from stackrouter.errors import NoListError, TurnedAwayError, UnreachableError
+from stackrouter.net.socket_errors import connect_failed_locally, repeat_passing
 
 REFUSALS = frozenset({429, 503})
+CONNECT_TRIES: Final = 3  # of a connect that fails for want of this machine's own means
 LARGEST_ANSWER_BYTES = 4 << 20  # a whole list of about 30,000 nodes (2.35 MB at 17,000)
 
 Address = tuple[str, int]
@@ -43,14 +47,13 @@
     def __init__(self, address: Address, until_us: int) -> None:
         """Connects. OSError, TimeoutError: there is none by `until_us` (monotonic)."""
         self.address = address
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            self._sock.settimeout(left_s(until_us))
-            self._sock.connect(address)
-            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except BaseException:
-            self._sock.close()
-            raise
+        for left in reversed(range(CONNECT_TRIES)):
+            try:
+                self._sock = _connected(address, until_us)
+                return
+            except OSError as error:
+                if not left or not connect_failed_locally(error):
+                    raise
 
     def close(self) -> None:
         self._sock.close()
@@ -67,15 +70,13 @@
         the answer begins. OSError, TimeoutError, DiscoveryError: there is no whole answer by `until_us`."""
         host = "{}:{}".format(*self.address)
         self._sock.settimeout(left_s(until_us))
-        self._sock.sendall(
-            f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
-        )
+        self._send(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
         response = _Response()
         parser = httptools.HttpResponseParser(response)
         begun = False
         while not response.whole:
             self._sock.settimeout(left_s(until_us))
-            data = self._sock.recv(65536)
+            data = repeat_passing(lambda: self._sock.recv(65536))
             if not data:
                 if response.headed and not response.framed:
                     break  # the end of the stream is the body's end; a reset is none
@@ -91,6 +92,23 @@
             raise NoListError(f"answered {status}", address=host)
         return bytes(response.body), response.whole and parser.should_keep_alive()
 
+    def _send(self, data: bytes) -> None:
+        rest = memoryview(data)
+        while rest:
+            rest = rest[repeat_passing(partial(self._sock.send, rest)) :]
+
+
+def _connected(address: Address, until_us: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(left_s(until_us))
+        sock.connect(address)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
 
 def monotonic_us() -> int:
     return time.monotonic_ns() // 1000
--- a/stackrouter/soak/gateway_process.py
+++ b/stackrouter/soak/gateway_process.py
@@ -15,6 +15,7 @@
 from dataclasses import replace
 from typing import Any
 
+import gevent
 import gevent.socket
 
 from rackseam.interface import Effect, ListKind
@@ -44,7 +45,8 @@
 
 def _wrap_sockets(base: Any) -> None:
     """Replace the calls of gevent's socket type with ones that fail or are short by chance."""
-    accept, connect, send, receive = base.accept, base.connect, base.send, base.recv_into
+    accept, connect, send = base.accept, base.connect, base.send
+    receive, receive_bytes = base.recv_into, base.recv
 
     def failing_accept(self: Any) -> Any:
         _Chance.fail(_ACCEPT)
@@ -62,8 +64,12 @@
         _Chance.fail(_PASSING)
         return int(receive(self, buffer[:SHORT_BYTES] if _Chance.short() else buffer, *rest))
 
-    base.accept, base.connect = failing_accept, failing_connect
-    base.send, base.recv_into = failing_send, failing_receive
+    def failing_receive_bytes(self: Any, size: int, *rest: Any) -> bytes:
+        _Chance.fail(_PASSING)
+        return bytes(receive_bytes(self, SHORT_BYTES if _Chance.short() else size, *rest))
+
+    base.accept, base.connect, base.send = failing_accept, failing_connect, failing_send
+    base.recv_into, base.recv = failing_receive, failing_receive_bytes
 
 
 def _step_wall_clock(step_s: float) -> None:
@@ -72,6 +78,19 @@
     time.time = lambda: real_s() + step_s
 
 
+def _delay_attempts() -> None:
+    """Each attempt waits for 0.25 s, as for a connection that comes up late."""
+    from stackrouter.net.pool import Pool
+
+    exchange = Pool._exchange
+
+    def late(self: Any, attempt: Any) -> Any:
+        gevent.sleep(0.25)
+        return exchange(self, attempt)
+
+    Pool._exchange = late  # type: ignore[method-assign]
+
+
 def _plant(rule: str) -> None:
     """Take the guard of a rule out."""
     from stackrouter.core.gate import Gate
@@ -90,6 +109,7 @@
         from stackrouter.core.engine import Engine
 
         Engine.withdraw = lambda *_: None  # type: ignore[method-assign]
+        _delay_attempts()
     elif rule == "deadline":
         Gate.wait_told_us = lambda *_: 60_000_000  # type: ignore[method-assign]
     elif rule == "unanswered":
--- a/stackrouter/soak/judge.py
+++ b/stackrouter/soak/judge.py
@@ -13,6 +13,7 @@
 GONE_SLACK_S: Final = 0.1
 TOLD_SLACK_S: Final = 0.15
 ANSWER_SLACK_S: Final = 0.5
+NEAR_S: Final = 4.0  # what was done to a gateway so near a wrong request is told with it
 
 
 @dataclass(slots=True)
@@ -40,10 +41,10 @@
             verdict.answered += 1
         if request.ending in (Ending.BROKEN, Ending.SILENT, Ending.OPEN):
             verdict.unanswered += 1
-            verdict.broken("unanswered", _story(request))
+            verdict.broken("unanswered", _story(request, records))
         slack_s = records.lateness.around(request.sent_at)
         for rule, what in _wrong(request, records, repeat_windows_s, slack_s):
-            verdict.broken(rule, f"{what}: {_story(request)}")
+            verdict.broken(rule, f"{what}: {_story(request, records)}")
     if records.half_clients_unheard:
         verdict.violations["half_request"] += records.half_clients_unheard
     return verdict
@@ -88,8 +89,8 @@
         yield "duplicate", f"the first that may have run was {arrival.last_at - min(ran):.3f} s old"
 
 
-def _story(request: RequestRecord) -> str:
-    """Request, attempts and end, with times from its sending on."""
+def _story(request: RequestRecord, records: Records) -> str:
+    """Request, attempts and end, with times from its sending on, and what was done to its gateway then."""
 
     def after(at: float | None) -> str:
         return "never" if at is None else f"+{at - request.sent_at:.3f}"
@@ -99,7 +100,16 @@
         for a in request.arrivals
     ]
     return (
-        f"{request.id} at g{request.gateway} {request.request_class} sent at {request.sent_at:.3f} waits "
-        f"{request.deadline_s}: {request.ending.value} {after(request.ended_at)} | "
-        f"{'; '.join(tries) or 'no node'}"
+        f"{request.id} at g{request.gateway} {request.request_class} sent at "
+        f"{request.sent_at + records.unix_offset_s:.3f} waits {request.deadline_s}: {request.ending.value} "
+        f"{after(request.ended_at)} | "
+        f"{'; '.join(tries) or 'no node'} | {'; '.join(_lives(request, records)) or 'nothing done to it'}"
     )
+
+
+def _lives(request: RequestRecord, records: Records) -> Iterator[str]:
+    for life in records.lives.get(request.gateway, ()):
+        for what in ("started_at", "ready_at", "terminated_at", "ended_at", "killed_at"):
+            at = getattr(life, what)
+            if at is not None and abs(at - request.sent_at) < NEAR_S:
+                yield f"{what} {at - request.sent_at:+.3f}"
--- a/stackrouter/soak/processes.py
+++ b/stackrouter/soak/processes.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket as plain
 import subprocess
@@ -17,6 +18,7 @@
 import gevent
 from gevent import socket
 
+from stackrouter.errors import StartError
 from stackrouter.soak.agents import Agent
 from stackrouter.soak.clients import CLASSES, GatewayClients, GatewayState
 from stackrouter.soak.options import SoakOptions
@@ -26,6 +28,7 @@
 POLL_S: Final = 0.01
 READY_MOST_S: Final = 30.0
 KILL_AFTER_S: Final = max(c.deadline_s for c in CLASSES) + 0.7  # after SIGTERM, the earliest that is allowed
+PORTS: Final = (12_000, 30_000)  # below those that the system hands out
 KEY_WINDOW_S: Final = 0.8
 
 
@@ -59,6 +62,21 @@
     return {"match-read": None, "turn-write": KEY_WINDOW_S, "turn-add": 0.0}
 
 
+def reserve_address() -> plain.socket:
+    """A socket that holds a port for as long as it is open: outside of those that the system hands out to
+    connections, and free for a process to listen at that allows the address to be used again."""
+    for port in random.sample(range(*PORTS), len(range(*PORTS))):
+        sock = plain.socket()
+        try:
+            sock.bind(("127.0.0.1", port))  # fails where another holds it, as another soak would
+        except OSError:
+            sock.close()
+            continue
+        sock.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)  # from here on the gateway may listen there
+        return sock
+    raise StartError("no port is free for a gateway")
+
+
 class SoakGateway:
     """One gateway: its process, its agent and its clients."""
 
@@ -67,9 +85,8 @@
     ) -> None:
         self.number, self.options, self.agent, self.records = number, options, agent, records
         self.folder = folder
-        with plain.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            self.state = GatewayState(sock.getsockname())
+        self._reserved = reserve_address()
+        self.state = GatewayState(self._reserved.getsockname())
         self.clients: GatewayClients | None = None
         self.crashes: list[str] = []
         self.restarts = self.not_ready_10s = 0
@@ -176,8 +193,7 @@
         if by_term:
             self._terminate(program)
         else:
-            self.state.killed_at = time.monotonic()
-            program.kill()
+            self._kill(program)
         program.wait()
         self.state.ready = False
         assert self.clients is not None
@@ -188,16 +204,22 @@
         self.await_ready()
         self._busy = False
 
+    def _kill(self, program: subprocess.Popen[bytes]) -> None:
+        self.state.killed_at = time.monotonic()
+        self._lives[-1] = replace(self._lives[-1], killed_at=self.state.killed_at)
+        program.kill()
+        program.wait()
+
     def _terminate(self, program: subprocess.Popen[bytes]) -> None:
         self.state.terminated_at = time.monotonic()
+        self._lives[-1] = replace(self._lives[-1], terminated_at=self.state.terminated_at)
         program.send_signal(signal.SIGTERM)
         while program.poll() is None:
             if time.monotonic() - self.state.terminated_at > KILL_AFTER_S:
-                self.state.killed_at = time.monotonic()
-                program.kill()
-                program.wait()
+                self._kill(program)
                 return
             gevent.sleep(POLL_S)
+        self._lives[-1] = replace(self._lives[-1], ended_at=time.monotonic())
         if program.returncode != 0:
             self.crashes.append(
                 f"g{self.number}: SIGTERM ended with {program.returncode}: {self._last_line()}"
@@ -205,12 +227,15 @@
 
     def stop(self) -> None:
         """At the end of the run."""
+        while self._busy:  # it is being started again
+            gevent.sleep(POLL_S)
         program = self._program
         if program is not None and program.poll() is None:
             program.send_signal(signal.SIGCONT)
             self._terminate(program)
-        elif program is not None and not self._busy:
+        elif program is not None:
             self._look_for_crash()
+        self._reserved.close()
 
     def counted(self) -> Counter[str]:
         """Rules that the gateway's processes counted as broken, from the counters that they printed."""
--- a/stackrouter/soak/records.py
+++ b/stackrouter/soak/records.py
@@ -52,11 +52,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Life:
-    """One process of a gateway. `ended_at` None: it runs."""
+    """One process of a gateway, and what was done to it; `ended_at`: it ended by itself."""
 
     started_at: float
     ready_at: float | None = None
     terminated_at: float | None = None
+    ended_at: float | None = None
     killed_at: float | None = None
 
 
@@ -99,3 +100,4 @@
     notices: dict[int, list[Notice]] = field(default_factory=dict)  # by gateway
     half_clients_unheard: int = 0  # clients with half a request that heard nothing in their time
     lateness: Lateness = field(default_factory=Lateness)
+    unix_offset_s: float = 0.0  # Unix time less monotonic time: logs have the former
--- a/stackrouter/soak/run.py
+++ b/stackrouter/soak/run.py
@@ -62,7 +62,7 @@
         self._scratch = tempfile.TemporaryDirectory(prefix="stackrouter-soak-")
         self.folder = folder or Path(self._scratch.name)
         self.folder.mkdir(parents=True, exist_ok=True)
-        self.records = Records()
+        self.records = Records(unix_offset_s=time.time() - time.monotonic())
         self._rng = random.Random(f"{options.seed} run")
         shards = max(1, options.nodes // NODES_A_SHARD)
         self.nodes = [
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -216,6 +216,18 @@
                     self.assertIs(asking.answered(call, S, version, whole, news), Verdict.TAKE)
                     self.assertEqual(asking.index, index)
 
+    def test_a_late_watch_is_followed_by_a_call_for_changes_and_only_then_for_the_whole_list(self) -> None:
+        asking = Asking(pace(3, pushed=True), random.Random(1), 7)
+        asking.answered(asking.begin(0), MS, 7)
+        watch = asking.begin(MS)
+        self.assertEqual(watch.wait_us, 2 * S)
+        asking.failed(watch, watch.until_us, silent=True)
+        again = asking.begin(asking.due_us or 0)
+        self.assertEqual((again.index, again.wait_us), (7, 0))
+        self.assertLess(again.begun_us, MS + 2 * S + 100 * MS, "an outage may have ended with its wait")
+        asking.failed(again, again.until_us, silent=True)
+        self.assertIsNone(asking.begin(asking.due_us or 0).index)
+
     def test_a_discovery_whose_numbers_never_settle_is_asked_with_a_pause(self) -> None:
         """It was asked 13,334 times in 9 s."""
         for pushed in (False, True):
