--- a/benchmarks/soak_sweep.py
+++ b/benchmarks/soak_sweep.py
@@ -15,9 +15,11 @@
 from pathlib import Path
 
 
-def play(seed: int, options: list[str]) -> dict[str, object]:
+def play(seed: int, logs: Path | None, options: list[str]) -> dict[str, object]:
     """One soak; its last line."""
     command = [sys.executable, "-m", "stackrouter.cli.main", "fleet", "soak", "--seed", str(seed), "--json"]
+    if logs is not None:
+        command += ["--logs", str(logs / str(seed))]
     done = subprocess.run([*command, *options], capture_output=True, text=True, check=False)
     lines = done.stdout.strip().splitlines()
     result = json.loads(lines[-1]) if lines else {"seed": seed, "crashes": [done.stderr[-400:]]}
@@ -30,12 +32,13 @@
     parser.add_argument("--runs", type=int, default=50)
     parser.add_argument("--parallel", type=int, default=2)
     parser.add_argument("--out", type=Path, required=True)
+    parser.add_argument("--logs", type=Path, help="a folder in it for each seed")
     parser.add_argument("options", nargs="*")
     args = parser.parse_args()
     seeds = range(args.first, args.first + args.runs)
     failed = 0
     with ThreadPoolExecutor(args.parallel) as pool, args.out.open("a", encoding="utf-8") as file:
-        for result in pool.map(lambda seed: play(seed, args.options), seeds):
+        for result in pool.map(lambda seed: play(seed, args.logs, args.options), seeds):
             failed += bool(result["exit"])
             file.write(json.dumps(result) + "\n")
             file.flush()
