Let the module answer what this process made late, before the backstop fails it; no exit over unread bytes

Cause: Engine._overdue answered FAILED inside the turn in which the module's own refusal had fallen due, where the process was more than 8 ms late; Listener.leave ended connections whose request lay unread in the socket. Ruled out: the module (it refuses in the same turn, one round later). Change: the backstop acts after the module's events of the turn; a stop is idle only when nothing waits to be read, and leave ends what is at rest.

--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -81,6 +81,7 @@
         self.nodes: dict[str, Node] = {}
         self._queue: SimpleQueue[tuple[Callable[..., None], tuple[Any, ...]]] = SimpleQueue()
         self._events: list[Event] = []
+        self._late: list[Request] = []  # past their time, to be failed if the module does not answer them now
         self._now = clock()
         self._wheel = Wheel(settings.step_us or 1000, self._now)
         self._made = 0
@@ -167,7 +168,9 @@
                 defect(log, "engine")
         for _ in range(MOST_ROUNDS):
             if not self._events:
-                return
+                if not self._late:
+                    return
+                self._fail_late()
             events, self._events = self._events, []
             try:
                 actions = self.controller.handle(self._now, events)
@@ -228,10 +231,17 @@
         self._events.append(arrival)
 
     def _overdue(self, r: Request) -> None:
+        """What the module would have answered has fallen due too, where this process ran late: it goes first."""
         if not r.answered:
-            self.counters.add("requests.overdue")
-            self._events.append(Withdrawn(r.id))
-            self._answer(r, Result(Verdict.FAILED))
+            self._late.append(r)
+
+    def _fail_late(self) -> None:
+        late, self._late = self._late, []
+        for r in late:
+            if not r.answered:
+                self.counters.add("requests.overdue")
+                self._events.append(Withdrawn(r.id))
+                self._answer(r, Result(Verdict.FAILED))
 
     def _withdraw(self, r: Request) -> None:
         if not r.answered:
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -122,6 +122,10 @@
     def idle(self) -> bool:
         return self.settled() and not len(self.inbox)
 
+    def at_rest(self) -> bool:
+        """Nothing is owed, and nothing that may be a request waits in the socket."""
+        return self.settled() and not self._sock.readable()
+
     def stalled(self, now: float) -> bool:
         """Guards against clients that never send or finish a request, or never read an answer."""
         patience = self.listener.patience
@@ -357,14 +361,14 @@
             connection.end()
 
     def leave(self) -> bool:
-        """At the exit: end what is left, such as half requests. Whether a client has yet to see it."""
-        for connection in list(self.connections):
+        """At the exit: end what is at rest or has half a request. Whether a client has yet to see it."""
+        for connection in [c for c in self.connections if c.at_rest()]:
             connection.end(planned=False)
-        return bool(self.lingering)
+        return bool(self.lingering or self.connections)
 
     def idle(self) -> bool:
-        """All that was taken is answered; half a request does not count as taken."""
-        return all(connection.settled() for connection in self.connections)
+        """All that was taken is answered and nothing waits to be read; half a request does not count."""
+        return all(connection.at_rest() for connection in self.connections)
 
     def linger(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -19,7 +19,7 @@
 from rackseam.interface import ListKind, NodeEntry, Plan, RequestClass, Settings
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.core.model import Request, Result
+from stackrouter.core.model import Request, Result, Verdict
 from stackrouter.core.wheel import SLOTS, Wheel
 from stackrouter.fronts.platform.node import Command
 from stackrouter.fronts.sftp.keys import EXISTENCE, WHOLE, Keys
@@ -120,6 +120,20 @@
             reuse.note(None, now % 10 == 0, now)
         self.assertTrue(reuse.trusted(0.3))  # what was learned fades: it is tried again
 
+    def test_a_request_that_is_late_by_this_process_alone_is_answered_by_the_module_first(self) -> None:
+        """It was failed by the backstop, in the same turn in which the module would have refused it."""
+        now = [1_000_000]
+        settings = Settings(classes=(RequestClass(100_000, 500_000),), plans=(Plan(),), step_us=2000,
+                            answer_slack_us=8000)  # fmt: skip
+        engine, results = Engine(settings, 100, Counters(), clock=lambda: now[0]), list[Result]()
+        talk = Command(b"BLK.READ", b"", b"", (), ()).exchange
+        engine.submit(Request(0, 0, "v", 1.0, 0, 1, "k", now[0] + 500_000, talk, results.append, "platform"))
+        engine.turn()
+        now[0] += 700_000  # held up
+        engine.turn()
+        self.assertEqual([r.verdict for r in results], [Verdict.REFUSED])
+        self.assertEqual(engine.counters["requests.overdue"], 0)
+
     def test_what_the_engine_and_the_pool_hold_does_not_grow_with_ids_and_requests(self) -> None:
         server = StreamServer(("127.0.0.1", 0), answer_all)
         server.start()
