Keep silent calls for differing times, so that an agent slow after an outage is soon heard

Log of g11: 32 silent calls in a row from 11:16:26.729 to 11:16:29.121, list version 33 (whole) at 11:16:29.752, though the agent was back at 11:16:27.85. Ruled out: the gateway's check (counted nothing: it had not been told); a silent agent (its return is in the schedule). Change: silent calls live 2.5 s, 0, 0.2 s, 0, 0.8 s, 0, 0.2 s, 0 in turn, eight at most at once. Figures: property test over latencies of 5 ms to 2 s: heard within 80 ms and four times the latency, 160 ms more past 50 ms; before, up to 2.5 s.

--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -231,7 +231,7 @@
         self._events.append(arrival)
 
     def _overdue(self, r: Request) -> None:
-        """What the module would have answered has fallen due too, where this process ran late: it goes first."""
+        """Where this process ran late, the module's own answer has fallen due too: it goes first."""
         if not r.answered:
             self._late.append(r)
 
--- a/stackrouter/membership/asking.py
+++ b/stackrouter/membership/asking.py
@@ -15,9 +15,10 @@
 - where lists are pushed (`pushed`), the agent answers at once, so a call that it has not begun to answer is
   followed by another soon: a call made while the agent is silent is never answered, and what the agent has
   after an outage counts as told from its first moment on. Until it has answered, no call waits for news;
-- a silent call is not given up for that: it is kept beside the calls after it until `late_us` after it began
-  or after the end of its wait, since discovery may be slow and the answer on its way. An answer counts as
-  long as no other has been taken, and discovery has not moved, since its call began;
+- a silent call is not given up for that: it is kept beside the calls after it, since discovery may be slow
+  and the answer on its way. How long differs from call to call (`late_us`): among those begun after an outage
+  one soon outlasts whatever time discovery takes. An answer counts as long as no other has been taken, and
+  discovery has not moved, since its call began;
 - versions order the answers of one history only. Another copy of discovery that took over counts from a
   number of its own: what discovery itself answers is taken whatever its number, and what cannot be a change
   of the list that was asked about is followed by a call for the whole list. Only against what another gateway
@@ -49,8 +50,8 @@
     is whole (0: within the same time).
     `lost_us`, `lost_most_us`: between calls that fail, doubling; `refused_us`, `refused_most_us`: the same
     for calls that are turned away. Each of these is drawn between half of it and all of it. `late_us`: how
-    long an answer may take in all, from the end of the wait on, while further calls are made. `pushed`: see
-    above.
+    long an answer may take in all, from the end of the wait on, while further calls are made: for the first
+    call, and then in turn for those after it that nobody answers. `pushed`: see above.
     """
 
     wait_us: int
@@ -62,7 +63,7 @@
     lost_most_us: int
     refused_us: int
     refused_most_us: int
-    late_us: int
+    late_us: tuple[int, ...]
     pushed: bool = False
 
     def __post_init__(self) -> None:
@@ -111,6 +112,7 @@
         self._answers = 0  # answers taken and moves of discovery: an answer to a call before them is void
         self._handed_on = 0  # lists that other gateways handed on
         self._quick = 0  # answers in a row that came at once
+        self._silent = 0  # calls in a row that nobody answered
 
     def begin(self, now: int) -> Call:
         """The call to make now. One that was under way is given up."""
@@ -120,7 +122,7 @@
         wait = pace.wait_us if self.index is not None and self._sure else 0
         call_us = min(pace.call_us, max(pace.least_us, self._left(now) // 2))
         until = now + wait + (pace.watch_us if wait else call_us)
-        late_until = max(until, now + wait + pace.late_us)
+        late_until = max(until, now + wait + pace.late_us[self._silent % len(pace.late_us)])
         self._call = Call(self.index, wait, until, late_until, now, self._answers, self._handed_on)
         return self._call
 
@@ -138,7 +140,7 @@
         self._answers += 1
         self._call, self._since, self.due_us = None, None, now + self._quick_rest(call, now)
         self._lost, self._refused = self.pace.lost_us, self.pace.refused_us
-        self._sure = True
+        self._sure, self._silent = True, 0
         if call.handed_on != self._handed_on and self.index is not None and version < self.index:
             return Verdict.OLDER
         no_change = call.index is not None and (version < call.index or (version == call.index and news))
@@ -166,6 +168,7 @@
         if call is not self._call:
             return False
         wait, self._lost = self._lost, min(2 * self._lost, self.pace.lost_most_us)
+        self._silent += 1
         late_watch = silent and self.pace.pushed and call.wait_us > 0
         self.index, self._sure = self.index if late_watch else None, not self.pace.pushed
         self._rest(now, wait)
--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -50,8 +50,11 @@
 AGENT_US, AGENT_LOST_US = 50_000, 30_000
 AGENT_WATCH_US = AGENT_US  # a watch's answer after its wait: an outage may end just then
 AGENT_BODY_US = 40_000  # the rest of an answer; a long list on a busy machine comes late
-# How long a silent call may still be answered, beside the calls after it.
-LATE_US, AGENT_LATE_US = 5_000_000, 2_500_000
+# How long a silent call may still be answered, beside the calls after it. Each other call to the agent ends
+# when it falls silent, so that few are under way.
+LATE_US = (5_000_000,)
+AGENT_LATE_US = (2_500_000, 0, 200_000, 0, 800_000, 0, 200_000, 0)
+UNDER_WAY_MOST = 8
 # Where lists are pushed, what the agent has binds from the first moment of a new process. So long the list
 # that the process was started with is held back for the agent's first answer; an agent that is silent for so
 # long has learned nothing since.
@@ -123,7 +126,7 @@
         self._failures = 0  # in a row
         self._idle: ListConnection | None = None
         self._events: SimpleQueue[_Heard | _Ended | _Moved] = SimpleQueue()
-        self._under_way: dict[Call, gevent.Greenlet[..., None]] = {}  # two at most: the last, and one silent
+        self._under_way: dict[Call, gevent.Greenlet[..., None]] = {}  # the last call, silent ones before it
         self._first: NodeList | None = None  # the list of the start, while it is held back
         self._moved = Event()
         self.fleet: Fleet | None = None
@@ -245,8 +248,10 @@
                     return
 
     def _fell_silent(self, call: Call) -> None:
-        if len(self._under_way) > 1:
+        if call.late_until_us <= monotonic_us():
             self._give_up(call)
+        while len(self._under_way) > UNDER_WAY_MOST:
+            self._give_up(next(iter(self._under_way)))
         if self.asking.failed(call, monotonic_us(), silent=True):
             self._count_failure(TimeoutError())
 
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -15,9 +15,10 @@
     QUICK_US,
     TOLD_US,
     Asking,
+    Call,
     Verdict,
 )
-from stackrouter.net.discovery import pace
+from stackrouter.net.discovery import UNDER_WAY_MOST, pace
 
 MS, S = 1_000, 1_000_000
 # What discovery does with a call: news, nothing until the wait is over, the whole list slowly, half an answer
@@ -216,6 +217,30 @@
                     self.assertIs(asking.answered(call, S, version, whole, news), Verdict.TAKE)
                     self.assertEqual(asking.index, index)
 
+    @given(
+        st.integers(0, 2**31),
+        st.integers(2_200 * MS, 8 * S),  # past the watch that the outage cut off
+        st.sampled_from((5, 40, 60, 150, 190, 300, 700, 1_200, 2_000)),
+    )
+    def test_an_agent_that_is_slow_after_an_outage_is_heard_in_proportion(
+        self, seed: int, length: int, latency_ms: int
+    ) -> None:
+        """One call was kept, which had begun in the outage: for 2.5 s no other lived long enough."""
+        asking, now, latency = Asking(pace(3, pushed=True), random.Random(seed), 7), 0, latency_ms * MS
+        asking.answered(asking.begin(0), MS, 7)
+        heard, most = None, 0
+        kept: list[Call] = []
+        while heard is None:
+            call = asking.begin(now := asking.due_us or 0)
+            kept = [k for k in kept if k.late_until_us > now]
+            most = max(most, len(kept))
+            if now >= length and now + latency <= call.late_until_us:
+                heard = now + latency
+            kept.append(call)
+            asking.failed(call, call.until_us, silent=True)
+        self.assertLessEqual(heard - length, 80 * MS + 4 * latency + (latency > 50 * MS) * 160 * MS)
+        self.assertLess(most, UNDER_WAY_MOST)
+
     def test_a_late_watch_is_followed_by_a_call_for_changes_and_only_then_for_the_whole_list(self) -> None:
         asking = Asking(pace(3, pushed=True), random.Random(1), 7)
         asking.answered(asking.begin(0), MS, 7)
