Judge a soak's drains by the 6 s where an agent's slow answer or a silent watch hides them

Ruled out: the gateway's own order of taking and sending (counted nothing, heard within 30 ms of the watch's end). Change: such notices count 6 s later.

--- a/stackrouter/soak/agents.py
+++ b/stackrouter/soak/agents.py
@@ -19,6 +19,7 @@
 Entry = dict[str, Any]
 AFTER_HUP_S: Final = 4.0  # what an agent that a SIGHUP names has counts as told so much later
 TOLD_S: Final = 6.0  # what a slow agent has counts as told so much later, heard or not
+SLOW_S: Final = (0.1, 1.5)  # what a slow agent takes for an answer
 FOREVER: Final = float("inf")
 
 
@@ -34,6 +35,7 @@
         self._silent_until = self._slow_until = 0.0
         self._late: list[tuple[str, Entry]] = []  # changes that wait for the end of a silence
         self._news = Event()
+        self._watch_lost = False  # a watch that was open has fallen silent, and no call has come since
         self._binds_from = 0.0  # notices before this count from then on: a new process, or a SIGHUP
         self._servers = [self._listen()]
 
@@ -74,7 +76,8 @@
                 for n in notices
             ]
             return
-        late_by_s = TOLD_S if now < self._slow_until else 0.0
+        # The last answer of a slow time may be under way; a watch that has fallen silent is known to be so later.
+        late_by_s = TOLD_S if now < self._slow_until + SLOW_S[1] or self._watch_lost else 0.0
         had_at = max(now, self._binds_from)
         notices.append(Notice(name, entry["address"], had_at, FOREVER, late_by_s))
 
@@ -151,13 +154,15 @@
         began = time.monotonic()
         if began < self._silent_until:
             return False
+        self._watch_lost = False
         index = int(query["index"][0]) if "index" in query else None
         until = began + int(query.get("wait", ["0"])[0]) / 1000
         while index == self._version and (left_s := until - time.monotonic()) > 0:
             self._news.wait(left_s)
         if time.monotonic() < self._slow_until:
-            gevent.sleep(self._rng.uniform(0.1, 1.5))
+            gevent.sleep(self._rng.uniform(*SLOW_S))
         if time.monotonic() < self._silent_until:
+            self._watch_lost = True
             return False
         body = json.dumps(self._since(index)).encode()
         sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
