--- a/stackrouter/soak/agents.py
+++ b/stackrouter/soak/agents.py
@@ -76,7 +76,7 @@
                 for n in notices
             ]
             return
-        # The last answer of a slow time may be under way; a watch that has fallen silent is known to be so later.
+        # The last answer of a slow time may be under way; that a watch is silent shows only later.
         late_by_s = TOLD_S if now < self._slow_until + SLOW_S[1] or self._watch_lost else 0.0
         had_at = max(now, self._binds_from)
         notices.append(Notice(name, entry["address"], had_at, FOREVER, late_by_s))
