Look at the client's connection right before each write to a node

Cause: the gate knew of a client's end only once the reader had read it and the engine had taken it; a process held up between decision and write sends first. Ruled out: request and end that lie in the socket together (real process, SIGSTOP: nothing was sent on, also before). Change: Request.client_left polls the connection; Gate.may_write takes it.

--- a/stackrouter/core/gate.py
+++ b/stackrouter/core/gate.py
@@ -122,13 +122,16 @@
         return self.may_repeat(request, now_us)
 
     def may_write(
-        self, attempt: Attempt, address: tuple[str, int], begun: bool, now_us: int
+        self, attempt: Attempt, address: tuple[str, int], begun: bool, client_left: bool, now_us: int
     ) -> Denial | None:
         """Whether the attempt's next byte may be written to a connection that leads to `address`.
 
+        `client_left`: its connection shows that it has gone, noticed or not.
         `begun`: its first byte has left. For a drain a send counts from its first byte, so the node is looked
         at before that one; a node begins a request with its last byte, so all else is looked at each time.
         """
+        if client_left:
+            return Denial.CLIENT_GONE
         if not begun:
             if attempt.address != address:
                 return Denial.NODE_MOVED
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -71,6 +71,11 @@
         """What follows from the bytes so far: more bytes to write, the end, or nothing yet."""
 
 
+def client_stays() -> bool:
+    """Where no connection can be looked at."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """A client's request in the core's terms. `deadline_us` is when its client gives up."""
@@ -90,6 +95,7 @@
     write: bool = False
     port: int = 0  # the node port of that wire; 0: the one discovery gives
     trace_id: str = ""  # by which the client knows the request
+    client_left: Callable[[], bool] = client_stays  # looks at the client's connection, now
     # Kept by the engine alone:
     repeat_us: int | None = (
         None  # for so long after the first attempt that may have run another may; None: ever
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -11,7 +11,7 @@
 from rackseam.interface import Effect, Settings
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.core.model import Inbox, Request, Result, Verdict
+from stackrouter.core.model import Inbox, Request, Result, Verdict, client_stays
 from stackrouter.errors import ClientCommandError, tell
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
@@ -142,6 +142,7 @@
 class PlatformSession:
     def __init__(self, engine: Engine, names: Names, counters: Counters, wake: Callable[[], None]) -> None:
         self._engine, self._names, self._counters, self._wake = engine, names, counters, wake
+        self.client_left = client_stays
         self._slots: deque[_Slot] = deque()
 
     def received(self, inbox: Inbox) -> None:
@@ -166,6 +167,7 @@
             slot = _Slot()
             try:
                 request = request_of(parts, self._names, lambda result: self._answered(slot, result))
+                request.client_left = self.client_left
                 # Guards the other request: nodes would take the second for another attempt of the first.
                 if parts[2] in self._names.open:
                     raise BadCommandError("a request with this id is open")
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -14,7 +14,7 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.core.model import Inbox, Request, Result, Verdict
+from stackrouter.core.model import Inbox, Request, Result, Verdict, client_stays
 from stackrouter.fronts.sftp import packets
 from stackrouter.fronts.sftp.config import SftpConfig, Volume
 from stackrouter.fronts.sftp.keys import ATTRIBUTES, EXISTENCE, WHOLE, Keys, Reach, overlap
@@ -86,6 +86,7 @@
 class SftpSession:
     def __init__(self, shared: Shared, wake: Callable[[], None]) -> None:
         self._shared, self._wake = shared, wake
+        self.client_left = client_stays
         self._ready: deque[bytes] = deque()
         self._jobs: list[Job] = []
         self._handles: dict[bytes, Handle] = {}
@@ -190,6 +191,7 @@
                 wire=WIRE,
                 write=change is not None,
                 port=config.node_port,
+                client_left=self.client_left,
             ),
         )
         self._jobs.append(job)
--- a/stackrouter/net/client_socket.py
+++ b/stackrouter/net/client_socket.py
@@ -38,8 +38,8 @@
         return self._poll(select.POLLIN)
 
     def hung_up(self) -> bool:
-        """The client has closed, seen past bytes that are not read now."""
-        return self._poll(select.POLLRDHUP)
+        """The client has closed, seen past bytes that are not read now; or we have."""
+        return self._sock.fileno() < 0 or self._poll(select.POLLRDHUP)
 
     def end_sending(self) -> None:
         """The client sees the end behind all that was written; it may still be read from."""
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -74,6 +74,8 @@
 class Session(Protocol):
     """A front's side of one client connection."""
 
+    client_left: Callable[[], bool]  # set by the connection: the client has closed, noticed or not
+
     def received(self, inbox: Inbox) -> None:
         """Take whole requests out of the inbox; raises MalformedError."""
 
@@ -109,6 +111,7 @@
                 connection.wake()
 
         self.session = listener.session(wake)
+        self.session.client_left = sock.hung_up
         # The writer comes with the first answer: many connections never ask anything.
         self._greenlets = [gevent.spawn(self._guard, self._read)]
 
--- a/stackrouter/net/node_socket.py
+++ b/stackrouter/net/node_socket.py
@@ -46,7 +46,8 @@
         view = memoryview(data)
         begun = attempt.may_have_run  # a later step of an exchange
         while view:
-            denial = self._gate.may_write(attempt, self.address, begun, self._clock())
+            left = attempt.request.client_left()
+            denial = self._gate.may_write(attempt, self.address, begun, left, self._clock())
             if denial is not None:
                 raise DeniedError(denial, begun)
             count = self._send_some(view)
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -16,7 +16,7 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.gate import ClientState, Denial
-from stackrouter.core.model import Inbox
+from stackrouter.core.model import Inbox, client_stays
 from stackrouter.net import listener as listening
 from stackrouter.net.listener import Connection, Listener, MalformedError, Patience
 from stackrouter.ops.drain import Drain
@@ -29,6 +29,7 @@
 
     def __init__(self, wake: Callable[[], None], most: int) -> None:
         self.wake, self.most, self.left = wake, most, False
+        self.client_left = client_stays
         self.taken: list[bytes] = []
         self.slots: list[bytes | None] = []
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -99,7 +99,7 @@
     gate = Gate()
 
     def denial(self, tried: Attempt, now: int = S, begun: bool = False) -> Denial | None:
-        return self.gate.may_write(tried, HERE, begun, now)
+        return self.gate.may_write(tried, HERE, begun, False, now)
 
     def test_a_first_byte(self) -> None:
         self.assertIsNone(self.denial(attempt(request())))
@@ -109,6 +109,8 @@
         gone = attempt(request())
         gone.request.answered = True
         self.assertIs(self.denial(gone), Denial.CLIENT_GONE)
+        self.assertIs(self.gate.may_write(attempt(request()), HERE, False, True, S), Denial.CLIENT_GONE)
+        self.assertIs(self.gate.may_write(attempt(request()), HERE, True, True, S), Denial.CLIENT_GONE)
         over = attempt(request())
         over.live = False
         self.assertIs(self.denial(over), Denial.ATTEMPT_OVER)
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -128,6 +128,20 @@
                     self.told(engine, "n", NodeState.READY, ListKind.FULL)
                     self.pool.close_all_idle()
 
+    def test_a_client_whose_end_is_not_read_yet_is_seen_before_the_write(self) -> None:
+        """A process that was held up between its decision and its write sent on for who had left meanwhile."""
+        engine = self.start()
+        for i in range(TIMES):
+            with self.subTest(i):
+                request, _ = self.held_at_gate(engine)
+                request.client_left = lambda: True
+                self.let_go(engine)
+                self.assertEqual(self.commands, [])
+                self.assertGreater(engine.counters["denied.client_gone"], i)
+                engine.withdraw(request)
+                wait_until(lambda: not engine.requests, "forgotten")
+                self.pool.close_all_idle()
+
     def test_an_attempt_whose_node_has_moved_meanwhile_is_not_written_to_where_it_was(self) -> None:
         engine = self.start()
         other = StreamServer(("127.0.0.1", 0), self.serves)
