--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -129,7 +129,7 @@
                     self.pool.close_all_idle()
 
     def test_a_client_whose_end_is_not_read_yet_is_seen_before_the_write(self) -> None:
-        """A process that was held up between its decision and its write sent on for who had left meanwhile."""
+        """A process held up between its decision and its write sent on for who had left meanwhile."""
         engine = self.start()
         for i in range(TIMES):
             with self.subTest(i):
