--- a/tests/test_pushed_lists.py
+++ b/tests/test_pushed_lists.py
@@ -59,7 +59,7 @@
             client = Client(sock)
             while not (answer := client.ask()).line.startswith(b"$"):
                 self.assertLess(time.monotonic(), until, "nothing served while discovery is down")
-            self.assertLess(answer.at - began, 1.5)
+            self.assertLess(answer.at - began, 1.0)
 
 
 def steady(delay_s: float) -> Iterator[float]:
