--- a/stackrouter/net/discovery.py
+++ b/stackrouter/net/discovery.py
@@ -56,8 +56,8 @@
 AGENT_LATE_US = (2_500_000, 0, 200_000, 0, 800_000, 0, 200_000, 0)
 UNDER_WAY_MOST = 8
 # Where lists are pushed, what the agent has binds from the first moment of a new process. So long the list
-# that the process was started with is held back for the agent's first answer: the drain grace and its slack, by
-# the end of which an agent that answers has done so; one that is silent has learned nothing since.
+# that the process was started with is held back for the agent's first answer: the drain grace and its slack,
+# by the end of which an agent that answers has done so; one that is silent has learned nothing since.
 START_HOLD_S = 0.3
 AGENT_REFUSED_MOST_US = 500_000  # the agent serves this gateway alone: who comes again delays nobody
 # Calls a second that all gateways together make when they come back after being turned away: what is asked
