--- a/stackrouter/membership/asking.py
+++ b/stackrouter/membership/asking.py
@@ -15,17 +15,19 @@
 - where lists are pushed (`pushed`), the agent answers at once, so a call that it has not begun to answer is
   followed by another soon: a call made while the agent is silent is never answered, and what the agent has
   after an outage counts as told from its first moment on. Until it has answered, no call waits for news;
-- a silent call is not given up for that: it is kept beside the calls after it until `late_us` after it began
-  or after the end of its wait, since discovery may be slow and the answer on its way. An answer counts as
-  long as no other has been taken, and discovery has not moved, since its call began;
+- a silent call is not given up for that: it is kept beside the calls after it, since discovery may be slow
+  and the answer on its way. How long differs from call to call (`late_us`): among those begun after an outage
+  one soon outlasts whatever time discovery takes. An answer counts as long as no other has been taken, and
+  discovery has not moved, since its call began;
 - versions order the answers of one history only. Another copy of discovery that took over counts from a
   number of its own: what discovery itself answers is taken whatever its number, and what cannot be a change
   of the list that was asked about is followed by a call for the whole list. Only against what another gateway
   has handed on during the call does a lower number mean that the answer is older;
 - answers that come quicker than any watch, one after another, are followed by a rest within the 200 ms in
   which a watch goes on: a discovery whose numbers never settle must not be asked without a pause;
-- after silence nobody knows what was missed: the next call asks for the whole list. One that was turned away
-  was no silence: discovery still knows the version, and the cheapest call asks for changes.
+- after silence nobody knows what was missed: the next call asks for the whole list, but where an agent is
+  late with the end of a watch, a call for changes comes first. One that was turned away was no silence:
+  discovery still knows the version, and the cheapest call asks for changes.
 """
 
 from __future__ import annotations
@@ -48,8 +50,8 @@
     is whole (0: within the same time).
     `lost_us`, `lost_most_us`: between calls that fail, doubling; `refused_us`, `refused_most_us`: the same
     for calls that are turned away. Each of these is drawn between half of it and all of it. `late_us`: how
-    long an answer may take in all, from the end of the wait on, while further calls are made. `pushed`: see
-    above.
+    long an answer may take in all, from the end of the wait on, while further calls are made: for the first
+    call, and then in turn for those after it that nobody answers. `pushed`: see above.
     """
 
     wait_us: int
@@ -61,7 +63,7 @@
     lost_most_us: int
     refused_us: int
     refused_most_us: int
-    late_us: int
+    late_us: tuple[int, ...]
     pushed: bool = False
 
     def __post_init__(self) -> None:
@@ -110,6 +112,7 @@
         self._answers = 0  # answers taken and moves of discovery: an answer to a call before them is void
         self._handed_on = 0  # lists that other gateways handed on
         self._quick = 0  # answers in a row that came at once
+        self._silent = 0  # calls in a row that nobody answered
 
     def begin(self, now: int) -> Call:
         """The call to make now. One that was under way is given up."""
@@ -119,7 +122,7 @@
         wait = pace.wait_us if self.index is not None and self._sure else 0
         call_us = min(pace.call_us, max(pace.least_us, self._left(now) // 2))
         until = now + wait + (pace.watch_us if wait else call_us)
-        late_until = max(until, now + wait + pace.late_us)
+        late_until = max(until, now + wait + pace.late_us[self._silent % len(pace.late_us)])
         self._call = Call(self.index, wait, until, late_until, now, self._answers, self._handed_on)
         return self._call
 
@@ -127,7 +130,9 @@
         """Its answer has begun; returns until when it has to be whole."""
         return now + self.pace.body_us if self.pace.body_us else call.until_us
 
-    def answered(self, call: Call, now: int, version: int, whole: bool = False, news: bool = True) -> Verdict:
+    def answered(
+        self, call: Call, now: int, version: int, whole: bool = False, news: bool = False
+    ) -> Verdict:
         """Its answer came whole and can be read, also after the call had counted as silent: `whole` list or
         changes, with or without `news`. The next call begins at once: the watch goes on."""
         if call.answers != self._answers:
@@ -135,7 +140,7 @@
         self._answers += 1
         self._call, self._since, self.due_us = None, None, now + self._quick_rest(call, now)
         self._lost, self._refused = self.pace.lost_us, self.pace.refused_us
-        self._sure = True
+        self._sure, self._silent = True, 0
         if call.handed_on != self._handed_on and self.index is not None and version < self.index:
             return Verdict.OLDER
         no_change = call.index is not None and (version < call.index or (version == call.index and news))
@@ -155,14 +160,17 @@
             wait, self._refused = self._refused, min(2 * self._refused, self.pace.refused_most_us)
             self._rest(now, wait)
 
-    def failed(self, call: Call, now: int) -> bool:
+    def failed(self, call: Call, now: int, silent: bool = False) -> bool:
         """Silent, broken off or not to be read. False: it was no longer the call that counts.
 
-        A silent call may still be answered, see `Call.late_until_us`."""
+        A silent call may still be answered, see `Call.late_until_us`. Where lists are pushed, a watch that is
+        `silent` once its wait is over may be late only: the next call asks for changes, at once."""
         if call is not self._call:
             return False
         wait, self._lost = self._lost, min(2 * self._lost, self.pace.lost_most_us)
-        self.index, self._sure = None, not self.pace.pushed
+        self._silent += 1
+        late_watch = silent and self.pace.pushed and call.wait_us > 0
+        self.index, self._sure = self.index if late_watch else None, not self.pace.pushed
         self._rest(now, wait)
         return True
 
