Show no rounding errors on the capacity page: they differ from machine to machine

Seen: test_the_page_is_what_the_committed_files_give fails on this machine, also on the program before this landing: slope -4.3e-19 on the committed page, 1.9e-18 made here. Cause: capacity/estimate.number and page rows print a fit's rounding error and the sign of a rounded zero. Ruled out: the committed measurements (unchanged). Check unchanged.

--- a/stackrouter/capacity/estimate.py
+++ b/stackrouter/capacity/estimate.py
@@ -25,9 +25,12 @@
         return Estimate(self.value * by, f"{self.source}, {why}", self.factor)
 
 
+ROUNDING = 1e-12  # below this a fit's figure is its rounding error, which differs from machine to machine
+
+
 def number(value: float) -> str:
     """Three digits that count, with commas for thousands."""
-    if value == 0:
+    if abs(value) < ROUNDING:
         return "0"
     if abs(value) >= 100:
         return f"{round(value):,}"
--- a/stackrouter/capacity/page.py
+++ b/stackrouter/capacity/page.py
@@ -103,8 +103,8 @@
                 ", ".join(number(size) for size in series.sizes),
                 ", ".join(number(median) for median in series.medians),
                 number(found.intercept), number(found.slope),
-                "-" if found.exponent is None else f"{found.exponent:.2f}",
-                number(found.residual), f"{found.missed:+.0%}", found.shape.value,
+                "-" if found.exponent is None else f"{round(found.exponent, 2) + 0.0:.2f}",
+                number(found.residual), f"{round(found.missed, 2) + 0.0:+.0%}", found.shape.value,
             )
         )  # fmt: skip
     return rows
