Take the look at the client's connection out too, where the soak plants a request begun for nobody

Cause: the gate looks at the client's connection before each write, so taking Engine.withdraw out alone breaks nothing. Change: the plant; no check is eased.

--- a/stackrouter/soak/gateway_process.py
+++ b/stackrouter/soak/gateway_process.py
@@ -107,8 +107,10 @@
         )
     elif rule == "lost":
         from stackrouter.core.engine import Engine
+        from stackrouter.net.client_socket import ClientSocket
 
         Engine.withdraw = lambda *_: None  # type: ignore[method-assign]
+        ClientSocket.hung_up = lambda *_: False  # type: ignore[method-assign]
         _delay_attempts()
     elif rule == "deadline":
         Gate.wait_told_us = lambda *_: 60_000_000  # type: ignore[method-assign]
