Give slow start a module of its own: rackseam/slow_start.py

Change: Controller._bears and _rivals move to SlowStart.admits_at and contending_gateways, pure, with what a gateway knows of one node's start in NodeHistory; names of the field in place of bears, turns at a pace, rivals. No change of behaviour.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -9,7 +9,6 @@
 
 import math
 import random
-import zlib
 from collections import deque
 from collections.abc import Callable, Sequence
 from heapq import heappop, heappush, heapreplace
@@ -17,6 +16,7 @@
 from rackseam import interface as api
 from rackseam.buckets import EPSILON, Buckets, LimitBuckets, LimitPart, limit_part
 from rackseam.interface import Action, Effect, ListKind, NodeState, Outcome, Settings
+from rackseam.slow_start import CONTENDERS_MEMORY_US, NodeHistory, Shares, SlowStart, contending_gateways
 
 AIM_PART = 0.15  # part of the tightest aim that a node's units out may take to serve (design)
 LEAST_OUT = 4.0  # requests of mean size that may be out at any node: keeps its cores busy (design)
@@ -32,9 +32,6 @@
 LOST_AFTER = 3.0  # ... and an attempt is given up after this many times its expected answer time
 EXPECT_MOST = 0.7  # an answer is never expected later than this part of the aim after its sending
 SIZE_PART = 0.75  # part of an answer's time taken to grow with the request's units; the rest is waiting
-COLD_TURNS = 0.5  # part of what a cold node bears that is dealt out in turns of one request a gateway
-RIVALS_MEMORY_US = 5_000_000.0  # shards asked for within this long tell how many gateways share one
-COLD_LEAST = 0.1  # a cold share stated below this is not believed when its growth is reckoned
 BROKEN_MOST = 4  # after so many broken connections without an answer between a node counts as silent
 TRIAL_GROWTH = 1.6  # each unanswered trial at a silent node lengthens the wait for the next by this
 TRIAL_MOST_AIMS = 4.0  # ... up to this many tightest aims, so that its return is noticed soon
@@ -77,13 +74,13 @@
 
 class _Node:
     def __init__(self, node: str) -> None:
-        self.id, self.shard, self.zone, self.ready, self.launched, self.place = node, -1, 0, False, 0, -1
-        self.out_n = self.missed = self.missed_at = self.sent_at = self.done_at = 0
+        self.id, self.shard, self.zone, self.ready, self.place = node, -1, 0, False, -1
+        self.history = NodeHistory(node)
+        self.missed = self.missed_at = 0
         self.out_units, self.rate, self.rate_at, self.rtt, self.rtt_at = 0.0, 0.0, 0, 0.0, 0
         self.alive_at = self.alone_until = self.wake_at = 0
         self.broken = 0  # connections broken since the last answer; refused ones count twice
         self.trial_wait = 0.0  # above 0 while the node counts as silent
-        self.sent: deque[tuple[int, float]] = deque()  # what went there within the fall span
 
 
 class _Volume:
@@ -145,7 +142,8 @@
         self.resent: deque[int] = deque()
         self.list_wait, self.list_call = LIST_RETRY_US, 0
         self.list_longest = settings.ask_every_us * 0.5 or LIST_RETRY_MOST_US
-        self.rivals, self.rivals_at = float(settings.gateways), 0
+        self.slow_start = SlowStart(settings, 0)
+        self.contenders, self.contenders_at = float(settings.gateways), 0
         self.kicked: dict[int, _Shard] = {}
         self.others = self.shards[-1] = _Shard(-1)
 
@@ -153,6 +151,7 @@
         self.now = now_us
         if self.started_at < 0:
             self.started_at = now_us
+            self.slow_start = SlowStart(self.s, now_us)
             self.buckets.begin(now_us)
             if self.s.list_on_request:
                 self._subscribe()
@@ -240,10 +239,10 @@
             known = self.nodes.get(entry.node)
             if known is None:
                 known = self.nodes[entry.node] = _Node(entry.node)
-            if entry.launched_us > known.launched and known.launched + known.rate_at > 0:
+            if entry.launched_us > known.history.launched and known.history.launched + known.rate_at > 0:
                 # A fresh start voids what was learned of the node before.
                 known.rate, known.rtt_at, known.trial_wait, known.alone_until = 0.0, 0, 0.0, 0
-            known.launched = max(known.launched, entry.launched_us)
+            known.history.launched = max(known.history.launched, entry.launched_us)
             known.zone = entry.zone
             if entry.shard != known.shard:
                 if known.shard >= 0:
@@ -252,7 +251,7 @@
                 self.shards.setdefault(entry.shard, _Shard(entry.shard)).nodes.append(known)
             self._set_ready(known, entry.state is NodeState.READY)
             touched[entry.shard] = None
-        for node in [n for n in self.leaving.values() if not n.out_n]:
+        for node in [n for n in self.leaving.values() if not n.history.out]:
             del self.nodes[node.id], self.leaving[node.id]
             self.shards[node.shard].nodes.remove(node)
         for number in touched:
@@ -499,12 +498,12 @@
         if node.alone_until > self.now:
             return 0.0
         quiet = self.now - node.alive_at > self.aim * PATIENCE_AIMS
-        if quiet and not node.trial_wait and (node.out_n or node.missed > 1):
+        if quiet and not node.trial_wait and (node.history.out or node.missed > 1):
             # Danger: a node that died or hangs swallows everything sent to it. One trial at a time, ever
             # rarer, until it answers; whatever the cause of its silence.
             self._silence(node)
             return 0.0
-        if not self._bears(node, units):
+        if self._starts_slowly(node, units):
             return 0.0
         if node.trial_wait:
             return EPSILON
@@ -512,7 +511,7 @@
         if cap < mean and not reserved:
             # Danger: one request out at each of many gateways is a long queue already. Room under one request
             # becomes a pace, for all but the reserve: as much time between sends as keeps that much out.
-            pace_at = node.sent_at + int(self._rtt(node) * mean / cap)
+            pace_at = node.history.sent_at + int(self._rtt(node) * mean / cap)
             if pace_at > self.now:
                 self._wake(node, pace_at)
                 return 0.0
@@ -534,62 +533,31 @@
         node.wake_at = max(when, self.now + 1)
         self._at(node.wake_at, lambda: self._room_at(node))
 
-    def _bears(self, node: _Node, units: float) -> bool:
-        """Danger: all gateways together can push a cold node over. Each keeps to a part of what it bears.
-
-        An even part of the stated units is always safe. The node warms at least evenly, so that part grows
-        with its age at the start of the span. What it answers to one of many does not show what it can bear
-        from all: the stated budget holds for the sum.
-        Where an even part is less than a request, gateways come in turn: each may have one request out from
-        its turn on, and another only once that is answered, for what follows answers cannot outgrow them.
-        """
-        s, since = self.s, self.now - self.s.fall_us
-        while node.sent and node.sent[0][0] <= since:
-            node.sent.popleft()
-        if not node.launched or not s.cold_us or since - node.launched >= s.cold_us:
-            return True
-        growth = (1 / max(s.cold_share, COLD_LEAST) - 1) / s.cold_us
-        bears = s.cold_bears_units * (1 + growth * max(0, since - node.launched))
-        # Danger: among many gateways an even part is a trickle, for few of them have work for any one node.
+    def _starts_slowly(self, node: _Node, units: float) -> bool:
+        """Danger: all gateways together can push a cold node over. Whether this request has to wait there."""
+        if not self.slow_start.is_cold(node.history, self.now):
+            return False
         # Each process of this gateway counts as a gateway of its own: together they keep to its part.
-        gateways, rivals = s.gateways * self.sharers, self._rivals() * self.sharers
-        even = max(bears / gateways, bears * COLD_TURNS / rivals)
-        if sum(u for _, u in node.sent) + units <= even:
-            return True
-        if units > bears / 2 or node.out_n:
+        shares = Shares(
+            gateways=self.s.gateways * self.sharers,
+            position=self.s.position * self.sharers + self.rank,
+            contenders=self._contenders() * self.sharers,
+        )
+        admits_at = self.slow_start.admits_at(node.history, units, self.now, shares)
+        if admits_at <= self.now:
             return False
-        if node.done_at >= node.sent_at > node.launched:
-            return True
-        # Turns passed by an age: the integral of their part of what the node bears, a mean request each. A
-        # gateway that has sent waits for its next turn; one that has just started cannot know whether it had,
-        # and takes none that came before what still counts.
-        pace = COLD_TURNS * s.cold_bears_units / (s.mean_units * max(1, s.fall_us))
-        age = max(0, self.started_at - s.fall_us - node.launched, node.sent_at - node.launched)
-        position = s.position * self.sharers + self.rank
-        place = (position + zlib.crc32(f"{node.id} {node.launched}".encode())) % gateways + 1
-        first = place * rivals / gateways
-        round_ = max(0, math.ceil((pace * age * (1 + growth * age / 2) - first) / rivals))
-        due = (first + round_ * rivals) / pace if pace else math.inf
-        due = (math.sqrt(1 + 2 * growth * due) - 1) / growth if growth else due
-        if node.launched + due <= self.now:
-            return True
-        self._wake(node, node.launched + math.ceil(min(due, s.cold_us + s.fall_us)))
-        return False
-
-    def _rivals(self) -> float:
-        """Gateways that may have work for one node: such a part of all as the shards asked for here are.
+        if admits_at < math.inf:
+            self._wake(node, int(admits_at))
+        return True
 
-        A gateway that has just started reckons from its first moments: bursts ask for one shard, so their
-        number grows about as the root of the time; and one more that it has not seen yet.
-        """
-        if self.now >= self.rivals_at:
-            since, shards = self.now - RIVALS_MEMORY_US, self.shards.values()
-            asked = sum(shard.asked_at > max(0, since) for shard in shards)
-            seen = min(1.0, max(self.now - self.started_at, 1) / RIVALS_MEMORY_US)
-            part = (asked / math.sqrt(seen) + 1 - seen) / max(1, len(shards) - 1)
-            self.rivals = max(1.0, min(1.0, part) * self.s.gateways)
-            self.rivals_at = self.now + int(self.aim * FULL_REST_AIMS)
-        return self.rivals
+    def _contenders(self) -> float:
+        if self.now >= self.contenders_at:
+            since = max(0, self.now - CONTENDERS_MEMORY_US)
+            asked = sum(shard.asked_at > since for shard in self.shards.values())
+            running = self.now - self.started_at
+            self.contenders = contending_gateways(self.s.gateways, asked, len(self.shards) - 1, running)
+            self.contenders_at = self.now + int(self.aim * FULL_REST_AIMS)
+        return self.contenders
 
     def _node_for(self, shard: _Shard, r: _Request, reserved: bool = False) -> _Node | None:
         """The ready node of the shard with most room; for a new object the best of a few."""
@@ -640,7 +608,7 @@
     def _spare(self, shard: _Shard, r: _Request) -> _Node | None:
         """An idle and quick node, which a late request may have."""
         node = self._node_for(shard, r)
-        return node if node and not node.out_n and self._rtt(node) <= self.aim * AIM_PART else None
+        return node if node and not node.history.out and self._rtt(node) <= self.aim * AIM_PART else None
 
     def _send_best(self, shard: _Shard, found: tuple[int, float, int, _Lane]) -> bool:
         lane = found[3]
@@ -693,12 +661,10 @@
         r.queued = False
         r.attempts.append((node, self.now))
         r.out += 1
-        if not node.out_n and node.missed < 2:
+        if not node.history.out and node.missed < 2:
             node.alive_at = self.now
-        node.out_n += 1
         node.out_units += r.units
-        node.sent_at = self.now
-        node.sent.append((self.now, r.units))
+        node.history.record_send(r.units, self.now)
         if node.trial_wait:
             self._silence(node)
         # Danger: work past its aim earns next to nothing, yet fills a node's queue before what is in time.
@@ -741,8 +707,8 @@
         node, sent_at = attempt
         r.attempts[e.attempt] = None
         r.out -= 1
-        node.out_n -= 1
-        node.out_units = max(0.0, node.out_units - r.units) if node.out_n else 0.0
+        node.history.out -= 1
+        node.out_units = max(0.0, node.out_units - r.units) if node.history.out else 0.0
         outcome, missed = e.outcome, node.missed
         if outcome in (Outcome.DONE, Outcome.ERROR, Outcome.FULL):
             if node.trial_wait:
@@ -752,7 +718,7 @@
             # A time-out followed by a quick answer was a lost answer, not a slow or a silent node.
             near = missed > 0 and self.now - node.missed_at < self.aim * LOST_WITHIN
             self.loss += ((near and e.rtt_us < self.aim * LOST_QUICK) - self.loss) * LOSS_GAIN
-            node.done_at = self.now
+            node.history.answered_at = self.now
             for one in (node, self.all):
                 one.rate = self._rate(one) + r.units * 1e6 / RATE_MEMORY_US
                 one.rate_at = self.now
--- /dev/null
+++ b/rackseam/slow_start.py
@@ -0,0 +1,125 @@
+"""Slow start: what one gateway may send a storage node that has just started, and is cold.
+
+A cold node stays up while all gateways together send it no more than its budget: so many units within the
+fall span, growing evenly while it warms. Gateways do not talk to each other, so each keeps to a share of the
+budget. A request is admitted by any of three ways:
+
+- the share: what this gateway sent within the fall span stays within an even part of the budget;
+- a turn: gateways whose share is below one request come in turn, at a stated pace for all together, and have
+  one request out each;
+- an answer: it shows that the node is up, and lets the next request out.
+
+Pure: time is an argument, in microseconds of any steady clock; units are the requests' own.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections import deque
+from dataclasses import dataclass, field
+
+from rackseam.interface import Settings
+
+TURNS_PART = 0.5  # part of a cold node's budget that is dealt out in turns of one request a gateway
+LEAST_COLD_SHARE = 0.1  # a cold share stated below this is not believed when the budget's growth is reckoned
+CONTENDERS_MEMORY_US = 5_000_000  # shards asked for within this long tell how many gateways share one
+
+
+@dataclass(slots=True)
+class NodeHistory:
+    """What this gateway knows of one node's start, and what it sent there. Bounded by the fall span."""
+
+    name: str
+    launched: int = 0  # when it started; 0: long ago
+    out: int = 0  # attempts without an outcome
+    sent_at: int = 0  # when the last attempt was sent
+    answered_at: int = 0  # when the last answer came that served a request
+    sent: deque[tuple[int, float]] = field(default_factory=deque)  # when, and units, within the fall span
+
+    def record_send(self, units: float, now: int) -> None:
+        self.out += 1
+        self.sent_at = now
+        self.sent.append((now, units))
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Among how many a budget is split. `gateways`: processes of all gateways; `position`: this one's place
+    among them, from 0; `contenders`: how many of them may have work for one node, 1 or more."""
+
+    gateways: int
+    position: int
+    contenders: float
+
+
+def contending_gateways(gateways: int, shards_asked: int, shards: int, running_us: int) -> float:
+    """Gateways that may have work for one node: such a part of all as the shards asked for here are of all.
+
+    `shards_asked`: within `CONTENDERS_MEMORY_US`. A gateway that has just started reckons from its first
+    moments: bursts ask for one shard, so their number grows about as the root of the time; and one more that
+    it has not seen yet.
+    """
+    seen = min(1.0, max(running_us, 1) / CONTENDERS_MEMORY_US)
+    part = (shards_asked / math.sqrt(seen) + 1 - seen) / max(1, shards)
+    return max(1.0, min(1.0, part) * gateways)
+
+
+class SlowStart:
+    """Whether one more request may go to a cold node now. `started_at`: when this process began to serve."""
+
+    def __init__(self, settings: Settings, started_at: int) -> None:
+        self._settings = settings
+        self._started_at = started_at
+        self._growth = 0.0  # of the budget, in parts of its first value a microsecond
+        if settings.cold_us:
+            self._growth = (1 / max(settings.cold_share, LEAST_COLD_SHARE) - 1) / settings.cold_us
+
+    def is_cold(self, node: NodeHistory, now: int) -> bool:
+        """Whether the budget binds: a span that began while the node was cold has not passed."""
+        since = now - self._settings.fall_us
+        while node.sent and node.sent[0][0] <= since:
+            node.sent.popleft()
+        if not node.launched or not self._settings.cold_us:
+            return False
+        return since - node.launched < self._settings.cold_us
+
+    def admits_at(self, node: NodeHistory, units: float, now: int, shares: Shares) -> float:
+        """When a request of so many units may go to this cold node: `now` or before, when to look again, or
+        infinity when only an answer can change it."""
+        budget = self._budget(node, now)
+        even_part = max(budget / shares.gateways, budget * TURNS_PART / shares.contenders)
+        if sum(sent for _, sent in node.sent) + units <= even_part:
+            return now
+        if units > budget / 2 or node.out:
+            return math.inf
+        if node.answered_at >= node.sent_at > node.launched:
+            return now
+        return self._next_turn(node, shares)
+
+    def _budget(self, node: NodeHistory, now: int) -> float:
+        """Units within the span that ends now. The node warms at least evenly: it bears what it did at the
+        span's start."""
+        age = max(0, now - self._settings.fall_us - node.launched)
+        return self._settings.cold_bears_units * (1 + self._growth * age)
+
+    def _next_turn(self, node: NodeHistory, shares: Shares) -> float:
+        """When this gateway's next turn begins.
+
+        Turns passed by an age: the integral of their part of the budget, a mean request each. A gateway that
+        has sent waits for its next turn; one that has just started cannot know whether it had, and takes none
+        that came before what still counts.
+        """
+        s, growth = self._settings, self._growth
+        pace = TURNS_PART * s.cold_bears_units / (s.mean_units * max(1, s.fall_us))
+        if not pace:
+            return math.inf
+        age = max(0, self._started_at - s.fall_us - node.launched, node.sent_at - node.launched)
+        turns_passed = pace * age * (1 + growth * age / 2)
+        place = (shares.position + zlib.crc32(f"{node.name} {node.launched}".encode())) % shares.gateways + 1
+        first = place * shares.contenders / shares.gateways
+        round_ = max(0, math.ceil((turns_passed - first) / shares.contenders))
+        due = (first + round_ * shares.contenders) / pace
+        if growth:
+            due = (math.sqrt(1 + 2 * growth * due) - 1) / growth
+        return node.launched + math.ceil(min(due, s.cold_us + s.fall_us))
--- a/stackrouter/capacity/parts.py
+++ b/stackrouter/capacity/parts.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from rackseam.control import COLD_LEAST, COLD_TURNS, RIVALS_MEMORY_US
+from rackseam.slow_start import CONTENDERS_MEMORY_US, LEAST_COLD_SHARE, TURNS_PART
 from stackrouter.capacity import targets
 from stackrouter.capacity.estimate import number
 from stackrouter.capacity.even_parts import LIMITED, SETTINGS, ask_once, most_gateways
@@ -57,27 +57,29 @@
 
 def asked_part() -> float:
     """Part of all nodes for which one gateway is asked within the module's memory of it."""
-    asked = REQUESTS_S * RIVALS_MEMORY_US / 1e6 / targets.NODES
+    asked = REQUESTS_S * CONTENDERS_MEMORY_US / 1e6 / targets.NODES
     return 1 - math.exp(-asked)
 
 
 def cold_turns() -> float:
     """Turns of one mean request, all gateways together, from a node's start until it counts as warm."""
-    pace = COLD_TURNS * SETTINGS.cold_bears_units / (SETTINGS.mean_units * SETTINGS.fall_us)
-    growth = (1 / max(SETTINGS.cold_share, COLD_LEAST) - 1) / SETTINGS.cold_us
+    pace = TURNS_PART * SETTINGS.cold_bears_units / (SETTINGS.mean_units * SETTINGS.fall_us)
+    growth = (1 / max(SETTINGS.cold_share, LEAST_COLD_SHARE) - 1) / SETTINGS.cold_us
     return pace * SETTINGS.cold_us * (1 + growth * SETTINGS.cold_us / 2)
 
 
 def _cold() -> list[PartRow]:
-    rivals = asked_part() * targets.GATEWAYS
-    even = max(SETTINGS.cold_bears_units / targets.GATEWAYS, SETTINGS.cold_bears_units * COLD_TURNS / rivals)
+    contenders = asked_part() * targets.GATEWAYS
+    even = max(
+        SETTINGS.cold_bears_units / targets.GATEWAYS, SETTINGS.cold_bears_units * TURNS_PART / contenders
+    )
     wanted = NODE_REQUESTS_S * SETTINGS.cold_us / 1e6
     return [
         PartRow(
             f"a cold node's budget ({number(SETTINGS.cold_bears_units)} units a second at its start, cold "
             f"for {SETTINGS.cold_us / 1e6:.0f} s)",
-            f"{number(even)} units a gateway, with {number(rivals)} gateways that have work for it: below "
-            "one request",
+            f"{number(even)} units a gateway, with {number(contenders)} gateways that have work for it: "
+            "below one request",
             f"turns of one request: {number(cold_turns())} for all gateways together while it is cold, where "
             f"{number(wanted)} requests are asked for it in that time; a gateway whose first was answered "
             "goes on",
--- a/tests/test_list_pieces.py
+++ b/tests/test_list_pieces.py
@@ -76,7 +76,7 @@
     assert set(controller.leaving) == {n.id for n in controller.nodes.values() if not n.ready}
     return (
         {n.name: (n.address, n.shard, n.state) for n in engine.nodes.values()},
-        {n.id: (n.shard, n.zone, n.ready, n.launched) for n in controller.nodes.values()},
+        {n.id: (n.shard, n.zone, n.ready, n.history.launched) for n in controller.nodes.values()},
         {number: {n.id for n in s.nodes} for number, s in controller.shards.items() if s.nodes},
     )
 
