--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -242,7 +242,8 @@
             if entry.launched_us > known.history.launched and known.history.launched + known.rate_at > 0:
                 # A fresh start voids what was learned of the node before.
                 known.rate, known.rtt_at, known.trial_wait, known.alone_until = 0.0, 0, 0.0, 0
-            known.history.launched = max(known.history.launched, entry.launched_us)
+            if entry.launched_us > known.history.launched:
+                known.history.restarted(entry.launched_us)
             known.zone = entry.zone
             if entry.shard != known.shard:
                 if known.shard >= 0:
--- a/rackseam/slow_start.py
+++ b/rackseam/slow_start.py
@@ -7,7 +7,16 @@
 - the share: what this gateway sent within the fall span stays within an even part of the budget;
 - a turn: gateways whose share is below one request come in turn, at a stated pace for all together, and have
   one request out each;
-- an answer: it shows that the node is up, and lets the next request out.
+- an answer: it shows that the node bears what this gateway sent, at the pace at which it was sent, not more.
+  So it lets the next request out once this gateway's share of a stated pace has earned that request's units,
+  beyond all that it has sent there.
+
+Why the sum keeps the rule: with a budget of N requests of mean work in the span, the rule allows N + `chance(N)`.
+Requests that answers let out are earned at (N/2 + chance(N)) / C in a span by each of C gateways, and what the
+share and the turns let out is taken from the same earnings, so that answers only fill up to that pace. In any
+span a gateway differs from it by at most its largest request, at a moment of its own; the other half of N is
+left for that spread and for the error of C. C is the geometric mean of all gateways and of those that seem to
+contend, for one gateway's estimate can be low by a factor. Processes that start have earned nothing.
 
 Pure: time is an argument, in microseconds of any steady clock; units are the requests' own.
 """
@@ -21,7 +30,9 @@
 
 from rackseam.interface import Settings
 
+ANSWERS_PART = 0.5  # part of a cold node's budget that answers may let out, beside the rule's chance
 TURNS_PART = 0.5  # part of a cold node's budget that is dealt out in turns of one request a gateway
+SMALL_BUDGET = 30  # requests; the rule allows more chance below it
 LEAST_COLD_SHARE = 0.1  # a cold share stated below this is not believed when the budget's growth is reckoned
 CONTENDERS_MEMORY_US = 5_000_000  # shards asked for within this long tell how many gateways share one
 
@@ -33,12 +44,22 @@
     name: str
     launched: int = 0  # when it started; 0: long ago
     out: int = 0  # attempts without an outcome
+    credit: float = (
+        0.0  # units that answers may let out at the time `credit_at`; below 0: sent ahead of the pace
+    )
+    credit_at: int = 0
     sent_at: int = 0  # when the last attempt was sent
     answered_at: int = 0  # when the last answer came that served a request
     sent: deque[tuple[int, float]] = field(default_factory=deque)  # when, and units, within the fall span
 
+    def restarted(self, launched: int) -> None:
+        """The node has started anew: nothing counts that was sent to its last run."""
+        self.launched = self.credit_at = launched
+        self.credit = 0.0
+
     def record_send(self, units: float, now: int) -> None:
         self.out += 1
+        self.credit -= units
         self.sent_at = now
         self.sent.append((now, units))
 
@@ -65,6 +86,13 @@
     return max(1.0, min(1.0, part) * gateways)
 
 
+def chance(budget_requests: float) -> float:
+    """Requests of mean work by which all gateways together may pass a budget of so many, by the rule."""
+    if budget_requests < SMALL_BUDGET:
+        return 3 * math.sqrt(budget_requests + 3)
+    return 2 * math.sqrt(budget_requests) + 2
+
+
 class SlowStart:
     """Whether one more request may go to a cold node now. `started_at`: when this process began to serve."""
 
@@ -93,9 +121,24 @@
             return now
         if units > budget / 2 or node.out:
             return math.inf
-        if node.answered_at >= node.sent_at > node.launched:
-            return now
-        return self._next_turn(node, shares)
+        next_turn = self._next_turn(node, shares)
+        if not node.answered_at >= node.sent_at > node.launched:
+            return next_turn
+        return min(next_turn, self._earned_at(node, units, budget, now, shares))
+
+    def _earned_at(self, node: NodeHistory, units: float, budget: float, now: int, shares: Shares) -> float:
+        """When this gateway's share of the answers' pace has earned so many units, beyond all that it sent."""
+        s = self._settings
+        if not budget:
+            return math.inf
+        requests = budget / s.mean_units
+        most = (ANSWERS_PART * requests + chance(requests)) * s.mean_units
+        contenders = math.sqrt(shares.contenders * shares.gateways)
+        pace = most / (contenders * max(1, s.fall_us))
+        since = max(node.credit_at, self._started_at)
+        node.credit = min(s.max_units, node.credit + pace * max(0, now - since))
+        node.credit_at = now
+        return now + math.ceil(max(0.0, units - node.credit) / pace)
 
     def _budget(self, node: NodeHistory, now: int) -> float:
         """Units within the span that ends now. The node warms at least evenly: it bears what it did at the
