Leave out what a restarted gateway's predecessor may have sent a cold node

Cause: SlowStart.admits_at counted only what this process sent; a new process took the gateway's even share once more in the same span. Ruled out: the pace of answers (a process earns only from its own start on); turns that fell before the start (without them: still over). Change: SlowStart._left_by_predecessor: until a span has passed since the process began, the share of it that lies before the start counts as used, less what the node has gained since.

--- a/rackseam/slow_start.py
+++ b/rackseam/slow_start.py
@@ -114,8 +114,8 @@
         """When a request of so many units may go to this cold node: `now` or before, when to look again, or
         infinity when only an answer can change it."""
         budget = self._budget(node, now)
-        even_part = max(budget / shares.gateways, budget * TURNS_PART / shares.contenders)
-        if sum(sent for _, sent in node.sent) + units <= even_part:
+        part = max(1 / shares.gateways, TURNS_PART / shares.contenders)
+        if sum(sent for _, sent in node.sent) + units <= part * self._left_by_predecessor(node, budget, now):
             return now
         if units > budget / 2 or node.out:
             return math.inf
@@ -143,6 +143,19 @@
         age = max(0, now - self._settings.fall_us - node.launched)
         return self._settings.cold_bears_units * (1 + self._growth * age)
 
+    def _left_by_predecessor(self, node: NodeHistory, budget: float, now: int) -> float:
+        """What of the budget counts for shares, while the span reaches back to before this process began.
+
+        A process that ran before it, on this gateway, may have used the whole share until then. What the node
+        has gained since the span's start makes up for that first.
+        """
+        span = max(1, self._settings.fall_us)
+        part_before = 1 - (now - self._started_at) / span
+        if part_before <= 0 or node.launched >= self._started_at:
+            return budget
+        gained = self._settings.cold_bears_units * self._growth * min(span, now - node.launched)
+        return min(budget, budget * (1 - part_before) + gained)
+
     def _next_turn(self, node: NodeHistory, shares: Shares) -> float:
         """When this gateway's next turn begins.
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -28,6 +28,7 @@
     Outcome,
     Send,
     SetTimer,
+    SharersChanged,
     Timer,
 )
 from tests.gateway import MS, READ, SETTINGS, S
@@ -41,24 +42,33 @@
     """Gateways that share nothing but a node that has just started; each has its own seed and clients."""
 
     def __init__(self, gateways: int, bears: float, hot: float, capacity: float, restart: bool,
-                 outcome: Outcome, seed: int) -> None:  # fmt: skip
+                 outcome: Outcome, seed: int, share: float = SHARE, processes: int = 1,
+                 rates: tuple[float, ...] = (12.0,)) -> None:  # fmt: skip
+        """`share`: of its capacity that the node has when it starts; `processes`: of each gateway;
+        `rates`: requests a second of one process, in turn."""
+        self.share, self.rates = share, rates
         self.random, self.hot, self.bears, self.outcome = random.Random(seed), hot, bears, outcome
         self.capacity = capacity * bears / TIP / (FALL / 1e6)  # units a second that it serves when it starts
         base = replace(
             SETTINGS, classes=(replace(READ, aim_us=400 * MS, deadline_us=2 * S),), gateways=gateways,
-            max_units=4.0, fall_us=FALL, cold_us=COLD_US, cold_bears_units=bears, cold_share=SHARE,
+            max_units=4.0, fall_us=FALL, cold_us=COLD_US, cold_bears_units=bears, cold_share=share,
             tip_multiple=TIP, mean_units=MEAN, max_attempts=3,
         )  # fmt: skip
-        self.settings = [replace(base, position=i, seed=self.random.getrandbits(32)) for i in range(gateways)]
+        count = gateways * processes
+        self.settings = [
+            replace(base, position=i // processes, seed=self.random.getrandbits(32)) for i in range(count)
+        ]
         self.controllers = [Controller(s) for s in self.settings]
         self.attempts: list[dict[str, int]] = [{} for _ in self.settings]
         self.units: dict[str, float] = {}
         self.heap: list[tuple[int, int, str, int, Any]] = []
         self.made, self.busy_until = 0, float(BORN)
         self.sends: list[tuple[int, float]] = []  # when, and units, of those told of the start
-        self.told = [False] * gateways
+        self.told = [False] * count
         known = tuple(NodeEntry(f"n{i}", shard=i) for i in range(SHARDS))
-        for i in range(gateways):
+        for i in range(count):
+            if processes > 1:
+                self.at(0, "event", i, SharersChanged(processes, i % processes))
             self.at(0, "event", i, ListUpdate(ListKind.FULL, known))
             self.at(1 + self.random.randrange(S), "ask", i)
             self.at(BORN + self.random.randrange(S), "told", i)
@@ -92,7 +102,7 @@
         self.units[request] = float(self.random.choice((1, 1, 2, 2, 4)))
         volume = f"v{self.random.randrange(8)}"
         self.do(now, i, Arrival(request, 0, 0, volume, self.units[request], shard, 1, request, 2 * S))
-        self.at(now + 1 + int(self.random.expovariate(12) * 1e6), "ask", i)
+        self.at(now + 1 + int(self.random.expovariate(self.rates[i % len(self.rates)]) * 1e6), "ask", i)
 
     def do(self, now: int, i: int, event: Event) -> None:
         for action in self.controllers[i].handle(now, [event]):
@@ -115,7 +125,7 @@
         """The node takes them in turn, at a pace that grows with its age."""
         if self.told[i]:
             self.sends.append((now, units))
-        pace = self.capacity * (1 + (1 / SHARE - 1) * min(1.0, (now - BORN) / COLD_US))
+        pace = self.capacity * (1 + (1 / self.share - 1) * min(1.0, (now - BORN) / COLD_US))
         self.busy_until = max(self.busy_until, now) + units / pace * 1e6
         return int(self.busy_until) - now + 2 * MS
 
@@ -124,7 +134,7 @@
         worst = -math.inf
         for at, _ in self.sends:
             came = sum(units for t, units in self.sends if at - FALL < t <= at) / MEAN
-            budget = self.bears / MEAN * (1 + (1 / SHARE - 1) * (at - BORN) / COLD_US)
+            budget = self.bears / MEAN * (1 + (1 / self.share - 1) * (at - BORN) / COLD_US)
             worst = max(worst, (came - budget) / (2 * math.sqrt(budget) + 2))
         return worst
 
@@ -133,7 +143,7 @@
         worst = -math.inf
         for at, _ in self.sends:
             came = sum(units for t, units in self.sends if at - FALL < t <= at) / MEAN
-            budget = self.bears / MEAN * (1 + (1 / SHARE - 1) * (at - BORN) / COLD_US)
+            budget = self.bears / MEAN * (1 + (1 / self.share - 1) * (at - BORN) / COLD_US)
             chance = 2 * math.sqrt(budget) + 2 if budget >= 30 else 3 * math.sqrt(budget + 3)
             worst = max(worst, (came - budget) / chance)
         return worst
@@ -198,6 +208,26 @@
                 sent += sum(units for _, units in fleet.sends) / MEAN / 5
             self.assertGreaterEqual(sent, 0.98 * sent_before)
 
+    def test_a_restarted_gateway_leaves_out_what_its_predecessor_may_have_sent(self) -> None:
+        """Guards against a share spent twice in one span, at a node whose budget grows slowly."""
+        for gateways, requests in ((6, 30), (20, 60), (30, 60)):
+            for seed in range(3):
+                with self.subTest(gateways=gateways, requests=requests, seed=seed):
+                    fleet = Fleet(gateways, requests * MEAN, 0.5, 8.0, True, Outcome.DONE, seed, share=0.5)
+                    fleet.play()
+                    self.assertLessEqual(fleet.worst_by_the_page(), 1.0)
+
+    def test_two_processes_of_a_gateway_share_what_one_may_send(self) -> None:
+        """Guards against each process of an upgrade taking the gateway's whole part of the budget."""
+        for gateways, requests in product((6, 15), (15, 60)):
+            with self.subTest(gateways=gateways, requests=requests):
+                fleet = Fleet(
+                    gateways, requests * MEAN, 0.5, 8.0, False, Outcome.DONE, seed=requests, processes=2
+                )
+                fleet.play()
+                self.assertTrue(fleet.sends)
+                self.assertLessEqual(fleet.worst_by_the_page(), 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
