--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -228,6 +228,17 @@
                 self.assertTrue(fleet.sends)
                 self.assertLessEqual(fleet.worst_by_the_page(), 1.0)
 
+    def test_the_budget_holds_where_some_gateways_see_little_work(self) -> None:
+        """Guards against a gateway with few requests that takes itself for one of few contenders."""
+        worst = -math.inf
+        for seed in range(3):
+            fleet = Fleet(
+                30, 60.0, 0.5, 8.0, False, Outcome.DONE, seed, share=0.9, rates=(2.4, 6.0, 12.0, 36.0)
+            )
+            fleet.play()
+            worst = max(worst, fleet.worst_by_the_page())
+        self.assertLessEqual(worst, 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
