Refuse at once what cannot be served within its aim while an overload stands

Cause: Controller._unsent ends what waits at its aim; nothing looked at what stood before a request when it came. Ruled out: a short target as in CoDel (a node sees some ten requests a second from a gateway and would stand idle), a fixed bound. Change: rackseam/admission.py, pure: the wait by Little's law at the queue's share by weight of the pace served here, asked for only while ready requests have waited for room for an aim without a break, at nodes that answer and are not in slow start; under a limit by the units that wait for tokens. Reserves are queued as before. Why it works: what would be refused at its aim anyway is refused when it comes, and what fills the aim's worth of queue still waits.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -14,6 +14,7 @@
 from heapq import heappop, heappush, heapreplace
 
 from rackseam import interface as api
+from rackseam.admission import Backlog, limit_wait_us, node_wait_us
 from rackseam.buckets import EPSILON, Buckets, LimitBuckets, LimitPart, limit_part
 from rackseam.interface import Action, Effect, ListKind, NodeState, Outcome, Settings
 from rackseam.slow_start import CONTENDERS_MEMORY_US, NodeHistory, Shares, SlowStart, contending_gateways
@@ -69,6 +70,7 @@
         self.held_until = min(now + int(e.grace_us * HELD_PART), self.aim_at)
         self.paid = self.queued = self.late = self.over = self.began = self.reached = False
         self.aside, self.spent_at = False, 0  # units are set aside for it that no node has yet; since when
+        self.waits = False  # it counts among what waits in its lane
         self.lacked_limit = False  # it has waited at the head of its queue for tokens
 
 
@@ -91,6 +93,7 @@
         self.reserve_most = plan.reserve_units_per_s + largest if plan.reserve_units_per_s else 0.0
         self.reserve, self.reserve_at = self.reserve_most, now
         self.lanes: dict[int, _Lane] = {}
+        self.waiting = 0.0  # units queued in all lanes
 
 
 class _Lane:
@@ -99,12 +102,15 @@
     def __init__(self, volume: _Volume, shard: _Shard) -> None:
         self.volume, self.shard, self.tag, self.version = volume, shard, 0.0, 0
         self.heap: list[tuple[tuple[int, int], _Request]] = []
+        self.waiting = 0.0  # units queued that can still keep their aim
+        self.waiting_weight = 0.0  # what it adds to the shard's backlog
 
 
 class _Shard:
     def __init__(self, number: int) -> None:
         self.number, self.tag, self.asked_at = number, 0.0, -1
         self.nodes: list[_Node] = []
+        self.backlog = Backlog()
         self.reserved: list[tuple[float, int, int, _Lane]] = []  # by the time the reserve suffices
         self.tagged: list[tuple[float, int, int, _Lane]] = []  # by the weight tag
         self.late: list[tuple[int, int, _Request]] = []  # past their aim, by what is left of their time
@@ -299,7 +305,55 @@
             chain.append(r)
             if chain[0] is not r or self.rests.get(e.key, 0) > self.now:
                 return
-        self._enqueue(r)
+        if self._hopeless(r):
+            self._end(r)
+        else:
+            self._enqueue(r)
+
+    def _hopeless(self, r: _Request) -> bool:
+        """Whether what stands before it takes it past its aim, by the pace its nodes and its limit show."""
+        lane, volume, shard = r.lane, r.lane.volume, r.lane.shard
+        left = r.aim_at - self.now
+        if volume.part is not None and volume.waiting:
+            alone = self._short(r)
+            if limit_wait_us(alone, volume.waiting * self.sharers, volume.part.rate) > left + self.aim:
+                r.lacked_limit = True
+                return True
+        if shard.number < 0 or (volume.plan.reserve_units_per_s and self._reserve(volume) >= r.units):
+            return False
+        ready = [node for node in shard.nodes if node.ready]
+        if not all(self._shows_pace(node) for node in ready):
+            return False
+        rate = sum(self._rate(node) for node in ready)
+        wait = node_wait_us(
+            shard.backlog, self.now, self.aim, volume.plan.weight, lane.waiting, r.units, rate, RATE_MEMORY_US
+        )
+        return wait > left
+
+    def _shows_pace(self, node: _Node) -> bool:
+        """Whether what a node serves tells what it bears: it answers, and is not held back by slow start."""
+        answers = not node.trial_wait and node.history.answered_at >= self.now - self.aim
+        return answers and not self.slow_start.is_cold(node.history, self.now)
+
+    def _starts_waiting(self, r: _Request) -> None:
+        lane = r.lane
+        r.waits = True
+        lane.waiting += r.units
+        lane.volume.waiting += r.units
+        if not lane.waiting_weight:
+            lane.waiting_weight = lane.volume.plan.weight
+            lane.shard.backlog.weight += lane.waiting_weight
+
+    def _ends_waiting(self, r: _Request) -> None:
+        if not r.waits:
+            return
+        lane = r.lane
+        r.waits = False
+        lane.volume.waiting = max(0.0, lane.volume.waiting - r.units)
+        lane.waiting = max(0.0, lane.waiting - r.units)
+        if lane.waiting <= EPSILON:
+            lane.shard.backlog.weight = max(0.0, lane.shard.backlog.weight - lane.waiting_weight)
+            lane.waiting = lane.waiting_weight = 0.0
 
     def _volume(self, e: api.Arrival) -> _Volume:
         plan, gateways = self.s.plans[e.plan], max(1, e.gateways)
@@ -351,6 +405,7 @@
             heappush(r.lane.shard.late, (r.due_at, r.seq, r))
         else:
             heappush(r.lane.heap, (r.turn, r))
+            self._starts_waiting(r)
             if r.lane.heap[0][1] is r:
                 self._arm(r.lane)
         self._kick(r.lane.shard)
@@ -471,6 +526,7 @@
             # Danger: under overload a FIFO serves only what is late already. What cannot keep its aim waits
             # for spare room; an ordered one that others wait behind is refused to free its key.
             heappop(lane.heap)
+            self._ends_waiting(r)
             r.late = True
             chain = self.chains.get(r.key) if r.cls.ordered else None
             if chain is not None and len(chain) > 1 and self._refusable(r):
@@ -591,7 +647,9 @@
                 if other is not None and other[:2] < found[:2] and self._send_best(self.others, other):
                     continue
             if not self._send_best(shard, found):
+                shard.backlog.stands(self.now)
                 return
+        shard.backlog.cleared()
         while shard.late:
             r = shard.late[0][2]
             if r.over or not r.queued or self.now + self.margin >= r.due_at:
@@ -618,6 +676,7 @@
         r = lane.heap[0][1]
         if r.attempts and not self._may_resend(r):
             heappop(lane.heap)
+            self._ends_waiting(r)
             r.queued = False
             self._arm(lane)
             return True
@@ -659,6 +718,7 @@
             v.reserve = max(-v.plan.reserve_units_per_s, v.reserve - r.units)
         if r.attempts and self.s.resend_ratio is not None:
             self.resent.append(self.now)
+        self._ends_waiting(r)
         r.queued = False
         r.attempts.append((node, self.now))
         r.out += 1
@@ -808,6 +868,7 @@
 
     def _finish(self, r: _Request) -> None:
         """The request is over; its key stays taken until the outcome of every attempt is known."""
+        self._ends_waiting(r)
         r.over, r.queued = True, False
         if r.out:
             return
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -23,7 +23,7 @@
     SetTimer,
     Timer,
 )
-from tests.gateway import MS, READ, SETTINGS, S
+from tests.gateway import LIMITED_PLAN, MS, READ, SETTINGS, Gateway, S
 
 NODES, SERVICE_US, OVERLOAD, LASTS_US = 8, 50 * MS, 3.0, 6 * S
 SETTLED_US = 1 * S  # a short burst may wait; what comes later stands behind a standing queue
@@ -41,6 +41,7 @@
         self.attempts: dict[str, int] = {}
         self.free_at = [0] * NODES
         self.refused_after: list[int] = []
+        self.in_time = 0
         self.made = 0
 
     def at(self, when: int, event: Event) -> None:
@@ -74,6 +75,7 @@
                 place = int(node[1:])
                 self.free_at[place] = max(self.free_at[place], now) + SERVICE_US
                 done_at = self.free_at[place]
+                self.in_time += done_at - self.asked[request] <= READ.aim_us
                 answer = Answer(request, number, node, Outcome.DONE, True, done_at - now)
                 self.at(done_at, answer)
 
@@ -86,6 +88,21 @@
         self.assertTrue(overload.refused_after)
         self.assertLess(statistics.median(overload.refused_after), TARGET_MEDIAN_US)
 
+    def test_what_the_nodes_can_serve_in_time_still_is(self) -> None:
+        """Guards against refusals that leave nodes idle: as many are in time as the nodes serve meanwhile."""
+        for seed in range(3):
+            overload = Overload(seed)
+            overload.play()
+            self.assertGreaterEqual(overload.in_time, NODES * LASTS_US // SERVICE_US)
+
+    def test_what_stands_behind_tokens_that_are_spoken_for_is_refused_at_once(self) -> None:
+        """Guards against a wait for tokens that others before it will take."""
+        g = Gateway()
+        g.ask(plan=LIMITED_PLAN, units=3.0, gateways=4, name="a")  # 600 ms of the limit's rate each
+        g.ask(plan=LIMITED_PLAN, units=3.0, gateways=4, name="b")
+        g.ask(plan=LIMITED_PLAN, units=3.0, gateways=4, name="c")
+        self.assertEqual((g.finals("b"), g.finals("c")), ([], [Refuse("c", 0)]))
+
 
 if __name__ == "__main__":
     unittest.main()
