Look for a standing queue before the pace of its nodes is summed

Cause: Controller._hopeless summed the nodes' rates for each request, also where no queue stands: work on the path of every request. Change: a look at the backlog first. The path's cost itself was not measured.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -319,7 +319,9 @@
             if limit_wait_us(alone, volume.waiting * self.sharers, volume.part.rate) > left + self.aim:
                 r.lacked_limit = True
                 return True
-        if shard.number < 0 or (volume.plan.reserve_units_per_s and self._reserve(volume) >= r.units):
+        if shard.number < 0 or shard.backlog.standing_since < 0:
+            return False
+        if volume.plan.reserve_units_per_s and self._reserve(volume) >= r.units:
             return False
         ready = [node for node in shard.nodes if node.ready]
         if not all(self._shows_pace(node) for node in ready):
