Estimate the wait for a limit's tokens only while one process has the gateway's part

Cause: Controller._hopeless took the claims' wait and the evenly split rate for what the process gets; two processes share tokens by use, so requests were refused that would have had theirs. Change: the estimate is left out while processes share the part.

--- a/rackseam/control.py
+++ b/rackseam/control.py
@@ -314,9 +314,9 @@
         """Whether what stands before it takes it past its aim, by the pace its nodes and its limit show."""
         lane, volume, shard = r.lane, r.lane.volume, r.lane.shard
         left = r.aim_at - self.now
-        if volume.part is not None and volume.waiting:
+        if self.sharers == 1 and volume.part is not None and volume.waiting:
             alone = self._short(r)
-            if limit_wait_us(alone, volume.waiting * self.sharers, volume.part.rate) > left + self.aim:
+            if limit_wait_us(alone, volume.waiting, volume.part.rate) > left + self.aim:
                 r.lacked_limit = True
                 return True
         if shard.number < 0 or shard.backlog.standing_since < 0:
