--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,8 +12,8 @@
 
 GATEWAYS, NODES = 3, 9
 MEMORY_MB, SOCKETS = 192, 1024  # the most that scored days have
-BAD_PROCESSES, BAD_CLIENTS_EACH = 4, 75  # 300 clients: usual ones may hold a third of the descriptors, 341
-COMMANDS_EACH, VALUE_BYTES = 100, 64 * 1024
+BAD_PROCESSES, BAD_CLIENTS_EACH = 4, 80  # 320 clients: usual ones may hold a third of the descriptors, 341
+COMMANDS_EACH, VALUE_BYTES = 200, 64 * 1024
 TIMES = 4  # they come again as soon as they have been turned away
 USUAL_CLIENTS, USUAL_EVERY_S = 6, 0.1
 USUAL_WAIT_MS = 2000
--- a/review/2/flood.py
+++ b/review/2/flood.py
@@ -13,11 +13,16 @@
 from rig import Client, new_id, read_answer, request
 
 
-async def bad_client(address: str, number: int, commands: int, body: bytes, told: dict[bytes, int]) -> None:
+async def bad_client(
+    address: str, number: int, commands: int, body: bytes, told: dict[bytes, int], begin: asyncio.Barrier
+) -> None:
+    client = None
     try:
         client = await Client.connect(address)
     except OSError:
         told[b"no connection"] = told.get(b"no connection", 0) + 1
+    await begin.wait()  # they begin together
+    if client is None:
         return
 
     async def read() -> None:
@@ -43,7 +48,8 @@
     told: dict[bytes, int] = {}
     body = bytes(size)
     for _ in range(times):
-        await asyncio.gather(*(bad_client(address, i, commands, body, told) for i in range(clients)))
+        begin = asyncio.Barrier(clients)
+        await asyncio.gather(*(bad_client(address, i, commands, body, told, begin) for i in range(clients)))
     print(" ".join(f"{kind.decode()}={count}" for kind, count in sorted(told.items())))
 
 
