--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,13 +11,13 @@
 from rig import BROKEN, HELD, TROUBLE, CannotRunError, Client, Rig, new_id, play, request, settings
 
 GATEWAYS, NODES = 3, 9
-MEMORY_MB, SOCKETS = 192, 1024  # the most that scored days have
-BAD_PROCESSES, BAD_CLIENTS_EACH = 4, 80  # 320 clients: usual ones may hold a third of the descriptors, 341
+MEMORY_MB, SOCKETS = 64, 1024  # gateways have 32 to 192 MB, and 1,024 descriptors at most
+BAD_PROCESSES, BAD_CLIENTS_EACH = 4, 15  # 60 bad clients; usual ones may hold 341 of 1,024 descriptors
 COMMANDS_EACH, VALUE_BYTES = 200, 64 * 1024
 TIMES = 4  # they come again as soon as they have been turned away
 USUAL_CLIENTS, USUAL_EVERY_S = 6, 0.1
 USUAL_WAIT_MS = 2000
-PLAYED_S = 30.0
+PLAYED_S = 20.0
 POLL_S = 0.01
 
 
