--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Bad clients send hundreds of commands at once: the gateway grows past its memory, and the platform kills it."""
+"""Bad clients send hundreds of commands at once: the gateway grows past its memory and is killed for it."""
 
 from __future__ import annotations
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,7 +24,7 @@
 
 GATEWAYS, NODES = 3, 9
 WORK_S = 0.044  # the mean work is 34 to 54 ms for a read, 39 to 62 ms for a write
-BATCH, EVERY_S = 3, 0.030  # a client sends so many reads and writes at once, so often: 100 a second, over all nodes
+BATCH, EVERY_S = 3, 0.030  # so many commands at once, so often: 100 a second, spread over all nodes
 READ_WAIT_MS, WRITE_WAIT_MS = 2000, 3000
 KILL_S = 3.7  # the longest deadline (3 s) and 0.7 s: no SIGKILL comes sooner
 SETTLE_S = 3.0
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -211,7 +211,7 @@
                     break
                 if not await self._command(words, reader, writer):
                     break
-        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.TimeoutError, asyncio.CancelledError):
+        except (OSError, ValueError, asyncio.IncompleteReadError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
             with contextlib.suppress(OSError):
@@ -524,7 +524,7 @@
         rig.record(f"trouble: {'yes' if TROUBLE else 'no'}")
         try:
             result = await asyncio.wait_for(case(rig), limit_s)
-        except (CannotRunError, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
+        except (TimeoutError, CannotRunError, asyncio.CancelledError, OSError) as error:
             rig.record(f"could not run: {error!r}")
             result = NOT_RUN
         finally:
--- a/review/probes/empty_value.py
+++ b/review/probes/empty_value.py
@@ -22,7 +22,7 @@
     for _ in range(2):
         try:
             answer = await asyncio.wait_for(read_answer(client.reader), 6.0)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             print("no whole answer in 6 s")
             return BROKEN
         print(f"an answer of {len(answer or b'') - 1} bytes")
--- a/review/probes/late_second_answer.py
+++ b/review/probes/late_second_answer.py
@@ -1,4 +1,4 @@
-"""Three in a hundred answers come a second time, 3 to 9 ms later, if nothing else waits on the connection then.
+"""Three in a hundred answers come a second time, 3 to 9 ms later, if nothing else waits there then.
 
 Bytes take LINK_S one way (the halls are 0.7 to 1.3 ms apart), so the gateway may have begun to send the next
 request on that connection.
--- a/review/probes/reload_twice.py
+++ b/review/probes/reload_twice.py
@@ -1,4 +1,4 @@
-"""Two and more new configurations, 1 s apart: a class keeps its old effect past 1.2 s, and writes run twice."""
+"""New configurations 1 s apart: a class keeps its old effect past 1.2 s, and its writes run twice."""
 
 from __future__ import annotations
 
@@ -42,8 +42,10 @@
         while rig.record.now() < began + 7.0:
             request_id = new_id()
             sent[request_id] = rig.record.now() - began
-            await connection.ask(request("BLK.WRITE", piece=new_id(), request_id=request_id, shard=shard,
-                                         wait_ms=3000, volume=f"{shard:016x}", body=b"x", key=new_id()))  # fmt: skip
+            await connection.ask(request(
+                "BLK.WRITE", piece=new_id(), request_id=request_id, shard=shard, wait_ms=3000,
+                volume=f"{shard:016x}", body=b"x", key=new_id(),
+            ))  # fmt: skip
             await asyncio.sleep(0.05)
 
     more = asyncio.create_task(again())
--- a/review/probes/upgrade.py
+++ b/review/probes/upgrade.py
@@ -66,8 +66,10 @@
             for _ in range(3):
                 number += 1
                 waiting.append(new_id())
-                client.writer.write(request("BLK.READ", piece=new_id(), request_id=waiting[-1],
-                                            shard=number % 9, wait_ms=2000, volume=f"{number % 9:016x}"))  # fmt: skip
+                client.writer.write(request(
+                    "BLK.READ", piece=new_id(), request_id=waiting[-1], shard=number % 9, wait_ms=2000,
+                    volume=f"{number % 9:016x}",
+                ))  # fmt: skip
             await asyncio.sleep(0.03)
 
     reader = asyncio.create_task(read())
@@ -83,7 +85,8 @@
     await asyncio.wait([reader], timeout=1.0)
     sender.cancel()
     lost = [r for r in waiting if any(r in node.commands for node in rig.nodes)]
-    print(f"the old process ended with {old.process.poll()}; answered {told}, passed on and never answered {len(lost)}")
+    print(f"the old process ended with {old.process.poll()}; answered {told}, "
+          f"passed on and never answered {len(lost)}")  # fmt: skip
     held.close()
     return BROKEN if lost else HELD
 
