Count requests as open before they are queued, and memory before it is read

Cause: Engine.submit queued every request; the bound on open requests came only in Engine._submit, when the engine's greenlet ran (core/engine.py, _submit). A reader goes on without a pause while its socket has bytes, so all readers filled the queue first: 32 commands a connection, with their bodies. Evidence, by a probe on the code before, at the largest batch: 618 requests queued with 40.4 MB of bodies, 125 open with 8.2 MB (256 may be open), 3.7 MB of inboxes, 83 MB resident. The same cause beside it, forced by a test: an inbox grew to 128 KiB whoever sent it, so 400 clients that send most of one large command took the gateway to 81 MB.

Ruled out: inboxes as the cause of the case (3.7 MB); open requests over their bound (125 of 256).

Change: `submit` counts what is queued as open and refuses at once, so nothing of a refused request is kept. Bodies over 4 KiB, and inboxes over 4 KiB, are leased from an account of bytes (core/memory.py), a quarter of the memory over 24 MB. Without room, a request is refused; a client that is sending one waits unread for 0.5 s, then gets -BUSY and the end. Why it works: memory is taken before the bytes, so it follows from `memory_mb` and no longer from the number of connections. Small requests need no lease, so a crowd does not crowd them out.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -20,6 +20,7 @@
 from stackrouter.config import Config, load, reload, with_policy
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
+from stackrouter.core.memory import MemoryAccount
 from stackrouter.errors import (
     ConfigError,
     ConfigValueError,
@@ -68,7 +69,9 @@
         self.config = config
         shared = open_shared_limits(config, self.counters)
         limits = shared[0] if shared else None
-        self.engine = Engine(config.settings, config.max_open, self.counters, shared=limits)
+        self.request_memory = MemoryAccount(config.request_bytes)
+        self.engine = Engine(config.settings, config.max_open, self.counters, shared=limits,
+                             request_memory=self.request_memory)  # fmt: skip
         self.pool = Pool(config.node_sockets, config.answer_bytes, config.connect_timeout_us,
                          config.keepalive_us, self.counters, self.engine.attempt_ended, self.engine.gate,
                          self.engine.violations)  # fmt: skip
@@ -102,6 +105,7 @@
                 config.listen_fd,
                 self.drain,
                 self.engine.gate,
+                self.request_memory,
             )
         ]
         if sftp is not None:
@@ -116,6 +120,7 @@
                     b"",
                     drain=self.drain,
                     gate=self.engine.gate,
+                    memory=self.request_memory,
                 )
             )
         self._processes = 1  # number of serving processes of this gateway
@@ -132,6 +137,7 @@
         """Applies this process's part of the gateway's memory and sockets, which its processes share."""
         self.config = config
         self.engine.max_open = config.max_open // self._processes
+        self.request_memory.max_bytes = config.request_bytes // self._processes
         self.pool.budget.max_bytes = config.answer_bytes // self._processes
         self._apply_socket_limits(config.client_sockets, config.node_sockets)
 
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -24,11 +24,13 @@
 RESERVED_SOCKETS = 32  # descriptors reserved for the log, the event loop, listeners and discovery
 CLIENT_SHARE = 0.6  # share of the remaining descriptors for clients; the others are for nodes
 OPEN_REQUEST_BYTES = 128 * 1024  # memory of an open request: its body and its answer
+OPEN_REQUEST_SHARE = 0.5  # share of the memory that bounds the number of open requests
 BASE_PROCESS_BYTES = 24 << 20  # memory of the process without requests
-LARGE_ANSWER_SHARE = (
-    0.3  # of the memory above BASE_PROCESS_BYTES, for answers over 64 KiB: up to three copies each
-)
-OPEN_REQUEST_SHARE = 0.5  # share of the memory that open requests may use
+# Shares of the memory above BASE_PROCESS_BYTES. The rest is for connections and for copies that last for one
+# step: an answer while it is parsed, blocks that the allocator has not returned yet.
+REQUEST_SHARE = 0.25  # requests over 4 KiB while they are read, and their bodies while they are open
+LARGE_ANSWER_SHARE = 0.3  # answers over 160 KiB
+MIN_ACCOUNT_BYTES = 1 << 20  # however small the memory is, some requests and answers of 64 KiB are let in
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,7 @@
     shards: int  # number of shards, which are numbered from 0; 0: not stated
     limits: dict[str, Any]
     max_open: int
+    request_bytes: int
     answer_bytes: int
     connect_timeout_us: int
     keepalive_us: int
@@ -159,6 +162,10 @@
     caps, limits = conf.get("Caps") or {}, raw.get("limits") or {}
     sockets = max(8, int(limits.get("sockets") or 1024) - RESERVED_SOCKETS)
     memory = int(limits.get("memory_mb") or 192) << 20
+
+    def share(of: float) -> int:
+        return max(MIN_ACCOUNT_BYTES, int(max(0, memory - BASE_PROCESS_BYTES) * of))
+
     return Config(
         name=str(environ.get("GW_NAME") or raw.get("name") or "gateway"),
         listen=address_of(environ.get("GW_LISTEN") or raw.get("listen"), "GW_LISTEN"),
@@ -183,7 +190,8 @@
         max_open=min(
             int(caps.get("MaxOpen") or 1 << 30), int(memory * OPEN_REQUEST_SHARE) // OPEN_REQUEST_BYTES
         ),
-        answer_bytes=int(max(0, memory - BASE_PROCESS_BYTES) * LARGE_ANSWER_SHARE),
+        request_bytes=share(REQUEST_SHARE),
+        answer_bytes=share(LARGE_ANSWER_SHARE),
         connect_timeout_us=int(caps.get("ConnectTimeoutUs") or 250_000),
         keepalive_us=int(caps.get("KeepaliveUs") or 15_000_000),
         client_sockets=int(sockets * CLIENT_SHARE),
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -46,6 +46,7 @@
 from stackrouter.core import facts
 from stackrouter.core.counters import Counters
 from stackrouter.core.gate import Denial, Gate
+from stackrouter.core.memory import MemoryAccount
 from stackrouter.core.model import Attempt, Node, Reply, Request, Result, SharedLimits, Transport, Verdict
 from stackrouter.core.violations import ViolationLog
 from stackrouter.core.wheel import Timer as WheelTimer
@@ -56,6 +57,8 @@
 
 # Queued to wake the loop when a timer may be due.
 WAKE_UP: tuple[Callable[..., None], tuple[Any, ...]] = (lambda: None, ())
+SMALL_BODY_BYTES = 4096  # requests with smaller bodies need no lease: their number is bounded by `max_open`
+COPIES_OF_BODY = 2  # the body as received, and the command for a node while it is being written
 MAX_ROUNDS = 100  # rounds of one step, as actions may cause new events; more rounds than this are a loop
 
 
@@ -75,8 +78,10 @@
 
     def __init__(self, settings: Settings, max_open: int, counters: Counters,
                  clock: Callable[[], int] = clock_us,
-                 shared: SharedLimits | None = None) -> None:  # fmt: skip
-        """`shared`: limits that other processes of this gateway may draw on too; None if there are none."""
+                 shared: SharedLimits | None = None,
+                 request_memory: MemoryAccount | None = None) -> None:  # fmt: skip
+        """`shared`: limits that other processes of this gateway may draw on too; None if there are none.
+        `request_memory`: memory for the bodies of open requests; None: without limit."""
         self.settings, self.max_open, self.counters, self.clock = settings, max_open, counters, clock
         self.gate = Gate()
         self.violations = ViolationLog(counters, settings.drain_grace_us, settings.plans, settings.max_units)
@@ -92,7 +97,9 @@
             self.gate.charge_valid = shared.may_spend
             shared.set_claim_callback(self.violations.limits.claimed)
         self.controller = Controller(settings, shared or LimitBuckets(settings.max_units, track_writes=True))
+        self._request_memory = request_memory
         self.requests: dict[str, Request] = {}
+        self._queued_requests = 0  # submitted, but not in `requests` yet
         self.nodes: dict[str, Node] = {}
         self._queue: SimpleQueue[tuple[Callable[..., None], tuple[Any, ...]]] = SimpleQueue()
         self._events: list[Event] = []
@@ -105,8 +112,34 @@
     # --- the queue: called from socket code
 
     def submit(self, request: Request) -> None:
-        """Queues a request read from a client."""
-        self._queue.put((self._submit, (request,)))
+        """Queues a request read from a client, or refuses it at once if too much is open.
+
+        Readers submit many requests before the loop runs, so those in the queue count as open here.
+        """
+        if self._queued_requests + len(self.requests) >= self.max_open:
+            self.refuse(request, "requests.over_max_open", self._retry_after_us())
+        elif not self._lease_memory(request):
+            self.refuse(request, "requests.over_memory", self._retry_after_us())
+        else:
+            self._queued_requests += 1
+            self._queue.put((self._submit, (request,)))
+
+    def refuse(self, request: Request, reason: str, pause_us: int) -> None:
+        """Refuses a request read from a client at once. `reason`: the counter of such refusals; `pause_us`:
+        when the client may come again."""
+        now = self.clock()
+        self._record_taken(request, now)
+        self.counters.add(reason)
+        self._answer(request, Result(Verdict.REFUSED, pause_us=pause_us), now)
+
+    def _retry_after_us(self) -> int:
+        return min(min(c.aim_us for c in self.settings.classes), self.settings.retry_after_most_us)
+
+    def _lease_memory(self, request: Request) -> bool:
+        if self._request_memory is None or request.body_bytes <= SMALL_BODY_BYTES:
+            return True
+        request.memory = self._request_memory.try_lease(COPIES_OF_BODY * request.body_bytes)
+        return request.memory is not None
 
     def retune(self, settings: Settings) -> None:
         """Queues new settings, in which each existing class keeps its index (see ops.retune.merge)."""
@@ -239,26 +272,30 @@
 
     # --- handlers of queued calls
 
-    def _submit(self, request: Request) -> None:
+    def _record_taken(self, request: Request, now_us: int) -> None:
+        """Gives the request its id and the deadline that a planned stop leaves it, and counts it as taken."""
         self.counters.add("requests.taken")
-        denial = self.gate.may_take(request.deadline_us, self._now)
         request.deadline_us = self.gate.answer_by_us(request.deadline_us)
-        left_us = request.deadline_us - self._now
         self._last_id += 1
         request.id = str(self._last_id)
         if self.tap is not None:
             self.tap(facts.Taken(
-                self._now, self._last_id, request.request_class, request.plan, request.volume, request.units,
+                now_us, self._last_id, request.request_class, request.plan, request.volume, request.units,
                 request.shard, request.gateways, request.deadline_us, request.repeat, request.write,
             ))  # fmt: skip
+
+    def _submit(self, request: Request) -> None:
+        self._queued_requests -= 1
+        denial = self.gate.may_take(request.deadline_us, self._now)
+        self._record_taken(request, self._now)
+        left_us = request.deadline_us - self._now
         if denial is Denial.STOPPING:
             self.counters.add("requests.over_at_stop")
             self._answer(request, Result(Verdict.REFUSED, pause_us=0))
             return
-        if len(self.requests) >= self.max_open or (self.intake_blocked is not None and self.intake_blocked()):
+        if self.intake_blocked is not None and self.intake_blocked():
             self.counters.add("requests.over_max_open")
-            pause_us = min(min(c.aim_us for c in self.settings.classes), self.settings.retry_after_most_us)
-            self._answer(request, Result(Verdict.REFUSED, pause_us=pause_us))
+            self._answer(request, Result(Verdict.REFUSED, pause_us=self._retry_after_us()))
             return
         arrival = Arrival(
             request.id, request.request_class, request.plan, request.volume, request.units, request.shard,
@@ -380,12 +417,14 @@
             never_ran = outcome is Outcome.TIMEOUT and not attempt.may_have_run
             self._attempt_ended(attempt, Reply(Outcome.MOOT if never_ran else outcome))
 
-    def _answer(self, open_request: Request, result: Result) -> None:
+    def _answer(self, open_request: Request, result: Result, now_us: int | None = None) -> None:
+        """Gives the request its one final answer. `now_us`: the time, if not that of the current step."""
         if open_request.answered:
             return
+        now = self._now if now_us is None else now_us
         open_request.answered = True
         self.counters.add(f"requests.{result.verdict.value}")
-        self.violations.answered(open_request, self._now)
+        self.violations.answered(open_request, now)
         if result.verdict is Verdict.FAILED:
             log.info(
                 "request %s failed: %s",
@@ -393,7 +432,7 @@
                 "; ".join(open_request.attempt_log) or "no attempt has ended",
             )
         if self.tap is not None:
-            self.tap(facts.Answered(self._now, int(open_request.id), result.verdict, result.pause_us))
+            self.tap(facts.Answered(now, int(open_request.id), result.verdict, result.pause_us))
         open_request.answer(result)
         self._forget(open_request)
 
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -27,7 +27,7 @@
     verdict: Verdict
     value: Any = None
     pause_us: int = 0
-    lease: object = None  # on the memory of a large value; released when its last reference goes
+    lease: object = None  # on the memory of the value; released when its last reference goes
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +99,7 @@
     write: bool = False
     port: int = 0  # the node port of that protocol; 0: the port given by discovery
     trace_id: str = ""  # the id under which the client knows the request
+    body_bytes: int = 0  # size of what is passed on to nodes, as far as it depends on the client
     client_hung_up: Callable[[], bool] = assume_connected  # whether its connection is closed now
     # Set by the engine only:
     # How long after the first attempt that may have run another may be sent; None: without limit.
@@ -106,6 +107,7 @@
     first_run_us: int | None = None  # when the first attempt that has ended and may have run was sent
     units_spent: bool = False  # a node has received it, which spends its units of the volume's limit
     reservation: object = None  # the reservation of its units in a limit shared by processes
+    memory: object = None  # the lease on the memory of its body
     id: str = ""
     attempts: int = 0
     in_flight: dict[int, Attempt] = field(default_factory=dict)  # attempts in flight, by number
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -124,6 +124,7 @@
         repeat=fields.get("r") == "1",
         write=name == WRITE,
         trace_id=request_id.decode("ascii", "replace"),
+        body_bytes=len(body[0]) if body else 0,
     )
 
 
@@ -150,7 +151,7 @@
 
     def __init__(self, data: bytes | None = None) -> None:
         self.id = b""
-        self.parts: deque[bytes] | None = None if data is None else deque((data,))
+        self.parts: list[bytes] | None = None if data is None else [data]
         self.request: Request | None = None
         self.lease: object = None  # kept until the whole answer has been output
 
@@ -164,14 +165,17 @@
         self._engine, self._names, self._counters, self._wake = engine, names, counters, wake
         self.client_hung_up = assume_connected
         self._slots: deque[_Slot] = deque()
+        self.min_inbox_bytes = 0
 
     def received(self, inbox: Inbox) -> None:
+        self.min_inbox_bytes = 0
         while not self.full():
             try:
                 value = resp.parse(inbox)
             except resp.ShortError as short:
                 if short.need > INBOX_BYTES:
                     raise MalformedError(resp.error("ERR Protocol error: command too long")) from None
+                self.min_inbox_bytes = short.need
                 return
             except resp.ProtocolError as error:
                 raise MalformedError(resp.error(f"ERR Protocol error: {error}")) from None
@@ -197,7 +201,7 @@
                 if self._counters["clients.bad_command"] <= MAX_LOGGED_BAD_COMMANDS:
                     fields = parts[3][:120] if len(parts) > 3 else b""
                     log_error(log, ClientCommandError(error), f"bad command {fields!r}")
-                slot.parts = deque((resp.error(f"ERR {error}"),))
+                slot.parts = [resp.error(f"ERR {error}")]
             else:
                 slot.request, slot.id = request, parts[2]
                 self._names.open_ids.add(slot.id)
@@ -217,7 +221,7 @@
 
     def _set_answer(self, slot: _Slot, result: Result) -> None:
         parts = encode_result(result)
-        slot.parts = deque(parts if isinstance(parts, tuple) else (parts,))
+        slot.parts = list(parts) if isinstance(parts, tuple) else [parts]
         slot.request, slot.lease = None, result.lease
         self._names.open_ids.discard(slot.id)
         if self._slots and self._slots[0] is slot:
@@ -227,7 +231,7 @@
         parts = self._slots[0].parts if self._slots else None
         if parts is None:
             return b""
-        part = parts.popleft()
+        part = parts.pop(0)
         if not parts:
             self._slots.popleft()
         return part
--- a/stackrouter/fronts/platform/resp.py
+++ b/stackrouter/fronts/platform/resp.py
@@ -25,9 +25,9 @@
 
 
 class ShortError(Exception):
-    """The value is incomplete; `need`: bytes that the inbox must hold at least, 0 if unknown."""
+    """The value is incomplete; `need`: bytes that the inbox must hold at least."""
 
-    def __init__(self, need: int = 0) -> None:
+    def __init__(self, need: int) -> None:
         super().__init__(need)
         self.need = need
 
@@ -57,7 +57,7 @@
             return text[:end], at + end + 2
         if len(text) == MAX_LINE_BYTES:
             raise ProtocolError("line too long")
-        raise ShortError
+        raise ShortError(self.size + 1)
 
 
 def parse(inbox: Inbox, max_bulk_bytes: int = MAX_VALUE_BYTES) -> Value:
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -93,6 +93,7 @@
     def __init__(self, shared: SftpContext, wake: Callable[[], None]) -> None:
         self._shared, self._wake = shared, wake
         self.client_hung_up = assume_connected
+        self.min_inbox_bytes = 0  # packets are bounded: no larger inbox is needed
         self._ready: deque[bytes] = deque()
         self._jobs: list[Job] = []
         self._handles: dict[bytes, Handle] = {}
@@ -202,6 +203,7 @@
                 write=change is not None,
                 port=config.node_port,
                 client_hung_up=self.client_hung_up,
+                body_bytes=len(operation.rest),
             ),
         )
         self._jobs.append(job)
@@ -220,7 +222,8 @@
         self._jobs.remove(job)
         self._answer(job.id, self._result_answer(job, result))
         for other in list(self._jobs):
-            self._start(other)
+            if other in self._jobs:  # else it was refused at once, when one before it was started
+                self._start(other)
         self._wake()
 
     def _result_answer(self, job: Job, result: Result) -> tuple[Type, bytes]:
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -19,11 +19,12 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.gate import ClientState, Gate
+from stackrouter.core.memory import MemoryAccount, MemoryLease
 from stackrouter.core.model import Inbox
 from stackrouter.errors import log_unexpected
 from stackrouter.net.client_socket import ClientSocket
 from stackrouter.net.listen_socket import listen_at
-from stackrouter.net.ring import Ring
+from stackrouter.net.ring import INITIAL_BYTES, Ring
 from stackrouter.net.socket_errors import AcceptError, accept_error
 from stackrouter.ops.drain import Drain
 
@@ -32,6 +33,7 @@
 BACKLOG = 1024
 INBOX_BYTES = 160 * 1024  # a value of 64 KiB in a command with its other parts
 OUTBOX_BYTES = 64 * 1024
+MAX_MEMORY_WAIT_S = 0.5  # how long a client with a large request waits for memory to read it
 WRITE_STALL_S = 10.0  # how long an answer may make no progress because the client does not read
 # Lingering close: after sending has been shut down, what still arrives is discarded within these limits.
 LINGER_S = 0.5
@@ -78,6 +80,9 @@
 
     # Set by the connection: whether the client has closed, even if not yet read.
     client_hung_up: Callable[[], bool]
+    # Minimum size in bytes of the request that `received` found incomplete; not more than the inbox holds:
+    # unknown.
+    min_inbox_bytes: int
 
     def received(self, inbox: Inbox) -> None:
         """Take complete requests out of the inbox. MalformedError: the stream cannot be parsed."""
@@ -100,7 +105,8 @@
 
     def __init__(self, sock: ClientSocket, listener: Listener) -> None:
         self._sock, self.listener = sock, listener
-        self.inbox, self.outbox = Ring(INBOX_BYTES), Ring(OUTBOX_BYTES)
+        self.inbox, self.outbox = Ring(INITIAL_BYTES), Ring(OUTBOX_BYTES)
+        self._inbox_leases: tuple[MemoryLease, ...] = ()  # for the part of the inbox over INITIAL_BYTES
         self.active_at = self.request_since = time.monotonic()
         self.ending = self.closed = self._partial = self._requested = self._input_paused = False
         self.lingering_since: float | None = None  # when sending was shut down; no requests are taken after
@@ -234,8 +240,12 @@
                 if not self._wait_for_output(lambda: not self.session.full()):
                     return
                 self._wake.set()  # the writer may have seen all answered while reading was still paused
-            elif not self.inbox.room:
-                return self._end_with_reply(b"")  # larger than any valid request
+            elif not self.inbox.room or self.session.min_inbox_bytes > self.inbox.bound:
+                if self.inbox.bound >= INBOX_BYTES:
+                    return self._end_with_reply(b"")  # larger than any valid request
+                if not self._extend_inbox():
+                    return
+                continue
             elif not self._sock.read(self.inbox):
                 return
             if self.lingering_since is not None:
@@ -246,6 +256,9 @@
             except MalformedError as error:
                 self.listener.counters.add("clients.malformed")
                 return self._end_with_reply(error.final_reply)
+            if not len(self.inbox):
+                self.inbox.release()
+                self._inbox_leases = ()
             self._touch()
             taken = len(self.inbox) < held
             if taken or (self._requested and not self._partial):  # a request was taken, or a later one began
@@ -253,6 +266,36 @@
             self._requested = self._requested or taken
             self._partial = len(self.inbox) > 0
 
+    def _extend_inbox(self) -> bool:
+        """Extend the inbox for a request that it cannot hold.
+
+        False: there was no memory for it in `MAX_MEMORY_WAIT_S`, and the connection has been ended with the
+        busy reply; or the client has disconnected.
+        """
+        known = self.session.min_inbox_bytes
+        bound = min(known, INBOX_BYTES) if known > self.inbox.bound else INBOX_BYTES
+        lease = self._wait_for_memory(bound - self.inbox.bound)
+        if lease is not None:
+            self._inbox_leases += (lease,)
+            self.inbox.reserve(bound)
+        elif self.lingering_since is not None:
+            self._discard()
+        elif not self._sock.hung_up():
+            self.listener.counters.add("clients.over_memory")
+            self._end_with_reply(self.listener.busy)
+        return lease is not None
+
+    def _wait_for_memory(self, size: int) -> MemoryLease | None:
+        """Wait without reading for `size` bytes of memory; None: there were none in time, or the connection
+        has ended meanwhile."""
+        memory, until = self.listener.memory, time.monotonic() + MAX_MEMORY_WAIT_S
+        while (lease := memory.try_lease(size)) is None:
+            memory.wait_until_freed(HANGUP_POLL_S)
+            ended = self.lingering_since is not None or self._sock.hung_up()
+            if ended or time.monotonic() > until:
+                return None
+        return lease
+
     def _wait_for_output(self, enough: Callable[[], bool]) -> bool:
         """Wait without reading until enough answers have been sent; False: the client has disconnected."""
         while not enough() and self.lingering_since is None:
@@ -279,6 +322,8 @@
         while not self.closed and self._discarded <= LINGER_BYTES:
             self._discarded += len(self.inbox)
             self.inbox.skip(len(self.inbox))
+            self.inbox.release()
+            self._inbox_leases = ()
             if not self._sock.read(self.inbox):
                 return
 
@@ -320,10 +365,11 @@
     def __init__(self, address: tuple[str, int], max_clients: int, counters: Counters,
                  session: Callable[[Callable[[], None]], Session], timeouts: ClientTimeouts,
                  busy: bytes, inherited: int | None = None, drain: Drain | None = None,
-                 gate: Gate | None = None) -> None:  # fmt: skip
+                 gate: Gate | None = None, memory: MemoryAccount | None = None) -> None:  # fmt: skip
         """`session`: makes a session, given a function that wakes the writer.
-        `busy`: reply to clients over the cap. `inherited`: descriptor of a listening socket, used instead of
-        binding `address`. ListenError: the address cannot be bound.
+        `busy`: reply to clients over the cap, or over the memory. `inherited`: descriptor of a listening
+        socket, used instead of binding `address`. `memory`: for requests while they are read, as far as they
+        are longer than INITIAL_BYTES. ListenError: the address cannot be bound.
 
         At an upgrade the platform holds the listening socket and both processes share it: binding the address
         again would fail, and a new socket would stop the old process from accepting clients.
@@ -335,6 +381,7 @@
         self._full_since = 0.0  # since when no client could be accepted; 0: not full
         self.stopping = False
         self.drain, self.gate = drain or Drain(), gate or Gate()
+        self.memory = memory or MemoryAccount(max_clients * INBOX_BYTES)
         self._inherited = inherited is not None
         self._sock = listen_at(address, BACKLOG, inherited)
         self.address = self._sock.getsockname()
--- a/stackrouter/net/ring.py
+++ b/stackrouter/net/ring.py
@@ -63,6 +63,14 @@
         if len(self._buffer) < bound:
             self._resize(bound)
 
+    def release(self) -> None:
+        """Go back to the initial bound; the ring must be empty."""
+        if self._size:
+            raise BufferError("ring buffer is not empty")
+        self.bound = INITIAL_BYTES
+        if len(self._buffer) > INITIAL_BYTES:
+            self._buffer = bytearray(INITIAL_BYTES)
+
     def receive(self, sock: socket) -> int:
         """Read once into the free space; return the byte count, 0 at the end of the stream.
 
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -30,6 +30,7 @@
     def __init__(self, wake: Callable[[], None], most: int) -> None:
         self.wake, self.most, self.left = wake, most, False
         self.client_hung_up = assume_connected
+        self.min_inbox_bytes = 0
         self.taken: list[bytes] = []
         self.slots: list[bytes | None] = []
 
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,248 @@
+"""What clients and nodes send is bounded by the gateway's memory, whatever the number of connections."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from rackseam.interface import Plan, RequestClass, Settings
+from stackrouter.core import counters
+from stackrouter.core.engine import Engine
+from stackrouter.core.memory import MemoryAccount
+from stackrouter.core.model import Request, Result, Verdict
+from stackrouter.fronts.platform import resp
+from stackrouter.fronts.platform.node import Command
+from tests.exchange import ROOT, SETTINGS, Discovery, free_address
+
+MEMORY_MB = 64
+POLL_S = 0.01
+PATIENCE_S = 30.0
+NODES = 4
+WORK_S = 0.02  # of a node, for one request
+VALUE = bytes(64 * 1024)
+CLASSES = (RequestClass(100_000, 500_000),)
+
+
+def command(name: bytes, number: int, body: bytes | None = None) -> bytes:
+    """A command of a volume and a shard that follow from its number."""
+    request_class = b"turn-write" if name == b"BLK.WRITE" else b"match-read"
+    fields = b"c=%b,t=priority,d=3000,k=%d,volume=%016x,units=1,shard=%d,hosts=1" % (
+        request_class, number, number % 7, number % NODES)  # fmt: skip
+    words = [name, b"%016x" % number, b"%016x" % number, fields]
+    return resp.command(*words, *([] if body is None else [body]))
+
+
+class Node:
+    """A storage node that answers each command after `WORK_S` with a value of `value_bytes`."""
+
+    def __init__(self, value_bytes: int) -> None:
+        value = bytes(value_bytes)
+        self._answer = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        stream = sock.makefile("rb")
+        try:
+            while head := stream.readline():
+                for _ in range(int(head[1:])):
+                    stream.read(int(stream.readline()[1:]) + 2)
+                gevent.sleep(WORK_S)
+                sock.sendall(self._answer)
+        except OSError:
+            pass
+        finally:
+            stream.close()
+            sock.close()
+
+
+class GatewayProcess:
+    """The real program with `MEMORY_MB`, before `NODES` nodes. `peak_mb`: its largest resident memory."""
+
+    def __init__(self, test: unittest.TestCase, value_bytes: int = 2) -> None:
+        entries = []
+        for shard in range(NODES):
+            node = Node(value_bytes)
+            test.addCleanup(node.server.stop)
+            entries.append({"name": f"s{shard}", "address": f"127.0.0.1:{node.server.server_port}",
+                            "zone": "hall-a", "type": "m", "group": shard, "status": "up", "weight": 1.0,
+                            "since_ms": 0})  # fmt: skip
+        discovery = Discovery(entries, silent=False)
+        folder = tempfile.TemporaryDirectory()
+        for cleanup in (folder.cleanup, discovery.server_close, discovery.shutdown):
+            test.addCleanup(cleanup)
+        host, _, port = free_address().rpartition(":")
+        self.address = host, int(port)
+        settings = {**SETTINGS, "Caps": {**SETTINGS["Caps"], "MaxOpen": 33333}}
+        config = {"listen": f"{host}:{port}", "discovery": "{}:{}".format(*discovery.server_address),
+                  "limits": {"memory_mb": MEMORY_MB, "sockets": 1024},
+                  "known": {"index": 1, "snapshot": True, "endpoints": entries},
+                  "settings": settings}  # fmt: skip
+        path = Path(folder.name, "config.json")
+        path.write_text(json.dumps(config))
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")} | {"GW_CONFIG": str(path)}
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "stackrouter"], cwd=ROOT, env=environ, text=True, stderr=subprocess.PIPE
+        )
+        assert self.program.stderr is not None
+        for stop in (self.program.stderr.close, self.program.wait, self.program.kill):
+            test.addCleanup(stop)
+        assert "listening" in self.program.stderr.readline()
+        self.peak_mb = 0.0
+        watcher = gevent.spawn(self._watch)
+        test.addCleanup(watcher.kill)
+
+    def _watch(self) -> None:
+        while True:
+            for line in Path(f"/proc/{self.program.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+            gevent.sleep(POLL_S)
+
+    def connect(self, receive_buffer_bytes: int | None = None) -> socket.socket:
+        """Connect a client; a small receive buffer leaves what it does not read to the gateway."""
+        sock = socket.socket()
+        sock.settimeout(PATIENCE_S)
+        if receive_buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        sock.connect(self.address)
+        return sock
+
+    def stop(self) -> dict[str, int]:
+        """Stop it as at a planned restart; its counters."""
+        self.program.send_signal(signal.SIGTERM)
+        assert self.program.stderr is not None
+        lines = self.program.stderr.read().splitlines()
+        return dict(json.loads(next(line for line in reversed(lines) if line.startswith("{"))))
+
+
+def read_answers(sock: socket.socket, answers: Counter[bytes], enough: int | None = None) -> None:
+    """Count answers by their first word until the connection ends, or until `enough` have come."""
+    stream = sock.makefile("rb")
+    try:
+        while (enough is None or answers.total() < enough) and (line := stream.readline()):
+            if line.startswith(b"$"):
+                stream.read(int(line[1:]) + 2)
+            answers[line[:1] if line.startswith(b"$") else line.split()[0]] += 1
+    except OSError:
+        pass
+    finally:
+        stream.close()
+
+
+class MemoryOfProcess(unittest.TestCase):
+    def crowd(self, clients: int, play: Callable[[int], None]) -> None:
+        """Run `play` for so many clients at a time."""
+        greenlets = [gevent.spawn(play, number) for number in range(clients)]
+        gevent.joinall(greenlets, timeout=PATIENCE_S, raise_error=True)
+        self.assertTrue(all(greenlet.successful() for greenlet in greenlets))
+
+    def assert_serves(self, gateway: GatewayProcess) -> None:
+        """Assert that it serves usual clients again; right after a crowd it may ask them to come again."""
+        answers = Counter[bytes]()
+        with gevent.Timeout(PATIENCE_S):
+            while not answers[b"$"]:
+                with gateway.connect() as sock:
+                    sock.sendall(command(b"BLK.READ", (1 << 40) + answers.total()))
+                    read_answers(sock, answers, enough=answers.total() + 1)
+                gevent.sleep(POLL_S)
+        self.assertLessEqual(set(answers), {b"$", b"-BUSY"})
+
+    def test_large_commands_sent_at_once_stay_within_the_memory(self) -> None:
+        """Guards against a gateway killed because commands are held before the bound on open requests."""
+        gateway, commands = GatewayProcess(self), 100
+
+        def flood(number: int) -> None:
+            with gateway.connect() as sock:
+                answers = Counter[bytes]()
+                reader = gevent.spawn(read_answers, sock, answers, commands)
+                with contextlib.suppress(OSError):  # refused and closed while it still sends
+                    for nth in range(commands):
+                        sock.sendall(command(b"BLK.WRITE", number * commands + nth, VALUE))
+                reader.join(PATIENCE_S)
+                self.assertLessEqual(set(answers), {b"$", b"-BUSY", b"-ERR"})
+                self.assertTrue(answers)
+
+        self.crowd(60, flood)
+        self.assert_serves(gateway)
+        counts = gateway.stop()
+        self.assertLess(gateway.peak_mb, MEMORY_MB)
+        self.assertGreater(counts.get("requests.over_memory", 0) + counts.get("requests.over_max_open", 0), 0)
+
+    def test_large_commands_that_are_never_completed_stay_within_the_memory(self) -> None:
+        """Guards against a gateway killed because each connection may hold most of a large command."""
+        gateway = GatewayProcess(self)
+
+        def send_most(number: int) -> None:
+            with gateway.connect() as sock:
+                with contextlib.suppress(OSError):  # refused and closed while it still sends
+                    sock.sendall(command(b"BLK.WRITE", number, VALUE)[:-100])
+                answers = Counter[bytes]()
+                read_answers(sock, answers)  # until the gateway ends the connection
+                self.assertLessEqual(set(answers), {b"-BUSY"})
+
+        self.crowd(400, send_most)
+        self.assert_serves(gateway)
+        self.assertLess(gateway.peak_mb, MEMORY_MB)
+
+
+class MemoryOfEngine(unittest.TestCase):
+    def setUp(self) -> None:
+        self.results: list[Result] = []
+
+    def engine(self, max_open: int, memory: MemoryAccount | None = None) -> Engine:
+        settings = Settings(classes=CLASSES, plans=(Plan(),), step_us=2000, retry_after_most_us=1_000_000)
+        return Engine(settings, max_open, counters.Counters(), clock=lambda: 1_000_000, request_memory=memory)
+
+    def request(self, body: bytes, **changes: Any) -> Request:
+        exchange = Command(b"BLK.WRITE", b"", b"", (), (body,)).exchange
+        return Request(0, 0, "v", 1.0, 0, 1, "k", 1_500_000, exchange, self.results.append, "platform",
+                       body_bytes=len(body), **changes)  # fmt: skip
+
+    def test_requests_in_the_queue_count_as_open(self) -> None:
+        """Guards against requests that are queued without bound before the loop applies the bound."""
+        engine = self.engine(max_open=3)
+        for _ in range(10):
+            engine.submit(self.request(VALUE))
+        self.assertEqual([result.verdict for result in self.results], [Verdict.REFUSED] * 7)
+        engine.process_events()
+        self.assertEqual((len(self.results), len(engine.requests)), (7, 3))
+        engine.submit(self.request(VALUE))
+        self.assertEqual(len(self.results), 8)
+        self.assertEqual(engine.counters["requests.over_max_open"], 8)
+        self.assertEqual(engine.counters["requests.taken"], 11)
+
+    def test_large_bodies_are_refused_over_the_memory_and_small_ones_are_not(self) -> None:
+        """Guards against large requests that crowd out small ones, and leases that are not returned."""
+        memory = MemoryAccount(4 * len(VALUE))
+        engine = self.engine(max_open=100, memory=memory)
+        for _ in range(5):
+            engine.submit(self.request(VALUE))
+        self.assertEqual(len(self.results), 3)
+        self.assertEqual(self.results[0].pause_us, CLASSES[0].aim_us)
+        engine.submit(self.request(b"small"))
+        self.assertEqual(len(self.results), 3)
+        self.assertEqual(engine.counters["requests.over_memory"], 3)
+        for request in list(engine.requests.values()):
+            engine.withdraw(request)
+        engine.process_events()
+        for request in list(engine.requests.values()):
+            engine.withdraw(request)
+        del request
+        engine.process_events()
+        self.assertFalse(engine.requests)
+        self.assertEqual(memory.used_bytes, 0)
