Count answers of usual size in the memory until clients have read them

Cause: answers up to 160 KiB were not counted (net/pool.py, MAX_REPLY_BYTES, ReplyMemory): a connection holds up to 32 of them whole until its client reads, and each node connection grew its inbox to 160 KiB; each client connection copied up to 64 KiB more into its outbox.

Ruled out: a pause of reading by bytes not yet sent, alone: the 32 commands taken before it bring 5 MB.

Change: a node's answer over 4 KiB is read only with a lease for its whole size (core/memory.py, AnswerMemory), which goes with the value until its last part has been handed to the connection; what does not fit waits in the node's socket. Usual answers (to 160 KiB) and large ones have accounts of their own, so that a 2 MiB value does not hold up the others. A client's outbox only collects short answers; a value is written as it is, without the copy. The lease is for the whole answer at once, so connections that hold half an answer each cannot block one another.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -20,7 +20,7 @@
 from stackrouter.config import Config, load, reload, with_policy
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.core.memory import MemoryAccount
+from stackrouter.core.memory import AnswerMemory, MemoryAccount
 from stackrouter.errors import (
     ConfigError,
     ConfigValueError,
@@ -70,9 +70,10 @@
         shared = open_shared_limits(config, self.counters)
         limits = shared[0] if shared else None
         self.request_memory = MemoryAccount(config.request_bytes)
+        self.answer_memory = AnswerMemory(config.usual_answer_bytes, config.large_answer_bytes)
         self.engine = Engine(config.settings, config.max_open, self.counters, shared=limits,
                              request_memory=self.request_memory)  # fmt: skip
-        self.pool = Pool(config.node_sockets, config.answer_bytes, config.connect_timeout_us,
+        self.pool = Pool(config.node_sockets, self.answer_memory, config.connect_timeout_us,
                          config.keepalive_us, self.counters, self.engine.attempt_ended, self.engine.gate,
                          self.engine.violations)  # fmt: skip
         self.engine.transport = self.pool
@@ -138,7 +139,9 @@
         self.config = config
         self.engine.max_open = config.max_open // self._processes
         self.request_memory.max_bytes = config.request_bytes // self._processes
-        self.pool.budget.max_bytes = config.answer_bytes // self._processes
+        self.answer_memory.resize(
+            config.usual_answer_bytes // self._processes, config.large_answer_bytes // self._processes
+        )
         self._apply_socket_limits(config.client_sockets, config.node_sockets)
 
     def _apply_socket_limits(self, clients: int, nodes: int) -> None:
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -29,7 +29,8 @@
 # Shares of the memory above BASE_PROCESS_BYTES. The rest is for connections and for copies that last for one
 # step: an answer while it is parsed, blocks that the allocator has not returned yet.
 REQUEST_SHARE = 0.25  # requests over 4 KiB while they are read, and their bodies while they are open
-LARGE_ANSWER_SHARE = 0.3  # answers over 160 KiB
+USUAL_ANSWER_SHARE = 0.2  # answers over 4 KiB and up to core.memory.MAX_USUAL_ANSWER_BYTES
+LARGE_ANSWER_SHARE = 0.3  # larger answers
 MIN_ACCOUNT_BYTES = 1 << 20  # however small the memory is, some requests and answers of 64 KiB are let in
 
 
@@ -50,7 +51,8 @@
     limits: dict[str, Any]
     max_open: int
     request_bytes: int
-    answer_bytes: int
+    usual_answer_bytes: int
+    large_answer_bytes: int
     connect_timeout_us: int
     keepalive_us: int
     client_sockets: int
@@ -191,7 +193,8 @@
             int(caps.get("MaxOpen") or 1 << 30), int(memory * OPEN_REQUEST_SHARE) // OPEN_REQUEST_BYTES
         ),
         request_bytes=share(REQUEST_SHARE),
-        answer_bytes=share(LARGE_ANSWER_SHARE),
+        usual_answer_bytes=share(USUAL_ANSWER_SHARE),
+        large_answer_bytes=share(LARGE_ANSWER_SHARE),
         connect_timeout_us=int(caps.get("ConnectTimeoutUs") or 250_000),
         keepalive_us=int(caps.get("KeepaliveUs") or 15_000_000),
         client_sockets=int(sockets * CLIENT_SHARE),
--- a/stackrouter/core/memory.py
+++ b/stackrouter/core/memory.py
@@ -8,6 +8,8 @@
 
 from gevent.event import Event
 
+MAX_USUAL_ANSWER_BYTES = 160 * 1024  # a value of 64 KiB, its framing and reports, with room to spare
+
 
 class MemoryLease:
     """A part of an account; returned when nothing refers to it any more."""
@@ -49,3 +51,22 @@
                 return lease
             self.wait_until_freed()
         return None
+
+
+class AnswerMemory:
+    """Memory for nodes' answers, from reading them until they are written to clients.
+
+    Large answers have an account of their own, so that the usual ones need not wait behind them.
+    """
+
+    def __init__(self, usual_bytes: int, large_bytes: int) -> None:
+        self.usual, self.large = MemoryAccount(usual_bytes), MemoryAccount(large_bytes)
+
+    def resize(self, usual_bytes: int, large_bytes: int) -> None:
+        """Change the limits; leases that are held stay."""
+        self.usual.max_bytes, self.large.max_bytes = usual_bytes, large_bytes
+
+    def lease(self, size: int) -> MemoryLease | None:
+        """Wait for `size` bytes and lease them; None: no answer may be that large."""
+        account = self.usual if size <= MAX_USUAL_ANSWER_BYTES else self.large
+        return account.lease(size)
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -66,6 +66,17 @@
         return touches and (self.is_change or other.is_change) and overlap(self.extent, other.extent)
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An encoded packet for the client. `lease`: on its memory, kept until the packet has been written."""
+
+    data: bytes
+    lease: object = None
+
+
+NO_ANSWER = _Answer(b"")
+
+
 class RequestError(Exception):
     """The request is answered with a STATUS packet; the connection stays open."""
 
@@ -94,7 +105,8 @@
         self._shared, self._wake = shared, wake
         self.client_hung_up = assume_connected
         self.min_inbox_bytes = 0  # packets are bounded: no larger inbox is needed
-        self._ready: deque[bytes] = deque()
+        self._ready: deque[_Answer] = deque()
+        self._written = NO_ANSWER  # the packet that the connection is writing
         self._jobs: list[Job] = []
         self._handles: dict[bytes, Handle] = {}
         self._last_handle = 0
@@ -114,7 +126,8 @@
             self._wake()
 
     def output(self) -> bytes:
-        return self._ready.popleft() if self._ready else b""
+        self._written = self._ready.popleft() if self._ready else NO_ANSWER
+        return self._written.data
 
     def pending(self) -> int:
         return len(self._jobs) + len(self._ready)
@@ -135,7 +148,7 @@
             if packet.type != Type.INIT or Fields(packet.body).u32() < packets.VERSION:
                 raise packets.PacketError("the first packet must be INIT")
             self._is_initialized = True
-            self._ready.append(Packet(Type.VERSION, u32(packets.VERSION)).encode())
+            self._ready.append(_Answer(Packet(Type.VERSION, u32(packets.VERSION)).encode()))
             return
         if packet.type == Type.INIT:
             raise packets.PacketError("INIT is repeated")
@@ -150,8 +163,8 @@
         if done is not None:
             self._answer(packet.id, done)
 
-    def _answer(self, request_id: int, done: tuple[Type, bytes]) -> None:
-        self._ready.append(Packet(done[0], done[1], request_id).encode())
+    def _answer(self, request_id: int, done: tuple[Type, bytes], lease: object = None) -> None:
+        self._ready.append(_Answer(Packet(done[0], done[1], request_id).encode(), lease))
 
     # --- requests to nodes
 
@@ -220,7 +233,7 @@
         if job not in self._jobs:
             return
         self._jobs.remove(job)
-        self._answer(job.id, self._result_answer(job, result))
+        self._answer(job.id, self._result_answer(job, result), result.lease)
         for other in list(self._jobs):
             if other in self._jobs:  # else it was refused at once, when one before it was started
                 self._start(other)
--- a/stackrouter/net/client_socket.py
+++ b/stackrouter/net/client_socket.py
@@ -27,11 +27,15 @@
         """Send as much of the ring as the socket takes, at least one byte; return the count."""
         return retry_transient(lambda: outbox.send(self._sock))
 
+    def write_part(self, data: memoryview) -> int:
+        """Send as much of `data` as the socket takes, at least one byte; return the count."""
+        return retry_transient(lambda: int(self._sock.send(data)))
+
     def write_all(self, data: bytes) -> None:
         """Send all of `data`; blocks while the client does not read."""
         view = memoryview(data)
         while view:
-            view = view[retry_transient(lambda rest=view: int(self._sock.send(rest))) :]  # type: ignore[misc]
+            view = view[self.write_part(view) :]
 
     def readable(self) -> bool:
         """Whether bytes, the end of the stream or an error are there to be read."""
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -32,7 +32,7 @@
 
 BACKLOG = 1024
 INBOX_BYTES = 160 * 1024  # a value of 64 KiB in a command with its other parts
-OUTBOX_BYTES = 64 * 1024
+OUTBOX_BYTES = 4 * 1024  # collects short answers; what is longer is written without a copy
 MAX_MEMORY_WAIT_S = 0.5  # how long a client with a large request waits for memory to read it
 WRITE_STALL_S = 10.0  # how long an answer may make no progress because the client does not read
 # Lingering close: after sending has been shut down, what still arrives is discarded within these limits.
@@ -107,6 +107,7 @@
         self._sock, self.listener = sock, listener
         self.inbox, self.outbox = Ring(INITIAL_BYTES), Ring(OUTBOX_BYTES)
         self._inbox_leases: tuple[MemoryLease, ...] = ()  # for the part of the inbox over INITIAL_BYTES
+        self._unsent = memoryview(b"")  # the rest of an answer that is not in the outbox yet
         self.active_at = self.request_since = time.monotonic()
         self.ending = self.closed = self._partial = self._requested = self._input_paused = False
         self.lingering_since: float | None = None  # when sending was shut down; no requests are taken after
@@ -124,8 +125,12 @@
         # The writer is started with the first answer: many connections never send a request.
         self._greenlets = [gevent.spawn(self._guard, self._read)]
 
+    def _writing(self) -> bool:
+        """Whether an answer has been begun and not yet been written whole."""
+        return bool(len(self.outbox) or self._unsent)
+
     def answered(self) -> bool:
-        return not self.session.pending() and not len(self.outbox)
+        return not self.session.pending() and not self._writing()
 
     def settled(self) -> bool:
         """Every request taken has its answer, and no complete request is queued behind paused reading."""
@@ -141,7 +146,7 @@
     def stalled(self, now: float) -> bool:
         """Whether a limit is exceeded: for clients that never send or finish a request or read an answer."""
         timeouts = self.listener.timeouts
-        if len(self.outbox):
+        if self._writing():
             return now - self.active_at > WRITE_STALL_S
         if not self.settled():
             return False  # requests taken are answered first, whatever partial one follows
@@ -328,16 +333,12 @@
                 return
 
     def _write(self) -> None:
-        rest = memoryview(b"")
         while not self.closed:
             self._wake.clear()
-            while rest or (rest := memoryview(self.session.output())):
-                rest = rest[self.outbox.put(rest) :]
-                if not self.outbox.room:
-                    break
+            self._fill_outbox()
             self._output_progress.set()
-            if len(self.outbox):
-                self._sock.write(self.outbox)
+            if self._writing():
+                self._write_some()
                 self._touch()
                 continue
             if self.listener.stopping:
@@ -349,6 +350,22 @@
                 return
             self._wake.wait()
 
+    def _fill_outbox(self) -> None:
+        """Collect answers in the outbox, so that short ones are written together."""
+        while self._unsent or (unsent := memoryview(self.session.output())):
+            if not self._unsent:
+                self._unsent = unsent
+            self._unsent = self._unsent[self.outbox.put(self._unsent) :]
+            if not self.outbox.room:
+                return
+
+    def _write_some(self) -> None:
+        """Write once: from the outbox, or what is longer than the outbox as it is."""
+        if len(self._unsent) > OUTBOX_BYTES and not len(self.outbox):
+            self._unsent = self._unsent[self._sock.write_part(self._unsent) :]
+        else:
+            self._sock.write(self.outbox)
+
     def wake(self) -> None:
         self._wake.set()
         if len(self._greenlets) == 1 and not self.closed and self.lingering_since is None:
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -12,21 +12,21 @@
 
 import gevent
 from gevent import GreenletExit
-from gevent.event import Event
 
 from rackseam.interface import Outcome
 from stackrouter.core.counters import Counters
 from stackrouter.core.gate import Denial, Gate
+from stackrouter.core.memory import MAX_USUAL_ANSWER_BYTES, AnswerMemory, MemoryLease
 from stackrouter.core.model import Attempt, Reply, Step
 from stackrouter.core.violations import ViolationLog
 from stackrouter.errors import NodeSocketsError, log_error, log_unexpected
 from stackrouter.net.node_socket import DeniedError, NodeSocket
-from stackrouter.net.ring import Ring
+from stackrouter.net.ring import INITIAL_BYTES, Ring
 from stackrouter.net.socket_errors import connect_failed_locally
 
 log = logging.getLogger(__name__)
 
-MAX_REPLY_BYTES = 160 * 1024  # a value of 64 KiB, its framing and reports, with room to spare
+FRAMING_BYTES = 4 * 1024  # room for what follows a value: its end, figures on use and a load report
 # Stray bytes may follow right behind an answer, so nothing is written to its connection for this long.
 STRAY_BYTES_WAIT_S = 0.002
 IDLE_REUSE_FRACTION = 0.4  # fraction of the node's keep-alive time for which an idle connection is reused
@@ -72,53 +72,26 @@
         return self._resets[i] <= (baseline + REUSE_MAX_EXTRA_RESETS) * max(REUSE_MIN_USES, self._uses[i])
 
 
-class MemoryLease:
-    """A share of the memory for large answers; returned when nothing refers to it any more."""
-
-    def __init__(self, budget: ReplyMemory, size: int) -> None:
-        self._budget, self._size = budget, size
-        budget.used += size
-
-    def __del__(self) -> None:
-        self._budget.used -= self._size
-        self._budget.freed.set()
-
-
-class ReplyMemory:
-    """Memory for answers larger than `MAX_REPLY_BYTES`: what does not fit waits, unread, in its socket."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes, self.used, self.freed = max_bytes, 0, Event()
-
-    def take(self, size: int) -> MemoryLease | None:
-        """Wait for `size` bytes and lease them; None: the size exceeds the total."""
-        if size > self.max_bytes:
-            return None
-        while self.used + size > self.max_bytes:
-            self.freed.clear()
-            self.freed.wait()
-        return MemoryLease(self, size)
-
-
 @dataclass(slots=True, eq=False)
 class Connection:
-    """A connection to a node. `wire`: its protocol; `used_at`: when last used, in monotonic seconds."""
+    """A connection to a node. `wire`: its protocol; `used_at`: when last used, in monotonic seconds;
+    `leases`: memory for the answer that is being read, as far as it is larger than the initial inbox."""
 
     sock: NodeSocket
     wire: str
-    inbox: Ring = field(default_factory=lambda: Ring(MAX_REPLY_BYTES))
+    inbox: Ring = field(default_factory=lambda: Ring(INITIAL_BYTES))
     used_at: float = 0.0
-    lease: MemoryLease | None = None
+    leases: tuple[MemoryLease, ...] = ()
 
 
 class Pool:
     """Carries out attempts at nodes over new or kept connections."""
 
-    def __init__(self, max_sockets: int, budget: int, connect_timeout_us: int, keepalive_us: int,
+    def __init__(self, max_sockets: int, memory: AnswerMemory, connect_timeout_us: int, keepalive_us: int,
                  counters: Counters, attempt_ended: Callable[[Attempt, Reply], None],
                  gate: Gate | None = None, violations: ViolationLog | None = None) -> None:  # fmt: skip
-        """`budget`: bytes for large answers; `attempt_ended`: called with each reply; `gate`: asked before
-        every write; `violations`: records what was written when."""
+        """`memory`: for answers; what does not fit waits, unread, in its socket. `attempt_ended`: called with
+        each reply; `gate`: asked before every write; `violations`: records what was written when."""
         self.gate, self.violations = gate or Gate(), violations
         self.max_sockets, self.counters, self.attempt_ended = max_sockets, counters, attempt_ended
         self.connect_timeout_s, self.idle_s = (
@@ -126,7 +99,7 @@
             keepalive_us / 1e6 * IDLE_REUSE_FRACTION,
         )
         self.written: Callable[[Attempt], None] | None = None  # called once an attempt is fully written
-        self.budget, self.reuse = ReplyMemory(budget), Reuse()
+        self.memory, self.reuse = memory, Reuse()
         self._idle: dict[str, deque[Connection]] = {}
         self._count = 0  # sockets held, idle or not
         self._busy: dict[Attempt, tuple[gevent.Greenlet[..., None], Connection | None]] = {}
@@ -197,10 +170,11 @@
             # That an old connection had ended says nothing about the node.
             return Reply(Outcome.CONNECT_FAILED if is_new else Outcome.MOOT)
         self.reuse.record_use(idle_s, False, began)
-        if connection.lease is not None:
-            reply = replace(reply, lease=connection.lease)
-            connection.lease, connection.inbox.bound = None, MAX_REPLY_BYTES
+        if connection.leases:
+            reply = replace(reply, lease=connection.leases)
         if reply.exact and not len(connection.inbox):
+            connection.inbox.release()
+            connection.leases = ()
             self._keep_idle(attempt, connection)
         else:
             self.counters.add("nodes.spoilt")
@@ -218,18 +192,35 @@
         while not isinstance(step, Reply):
             if step is not None:
                 self._write(attempt, connection, step, wait_us)
-            elif exchange.min_inbox_bytes > connection.inbox.bound:
-                connection.lease = self.budget.take(exchange.min_inbox_bytes + MAX_REPLY_BYTES)
-                if connection.lease is None:
+            elif not connection.inbox.room or exchange.min_inbox_bytes > connection.inbox.bound:
+                if not self._extend_inbox(connection, exchange.min_inbox_bytes):
                     self.counters.add("nodes.over_memory")
                     return Reply(Outcome.ERROR)
-                connection.inbox.reserve(exchange.min_inbox_bytes + MAX_REPLY_BYTES)
                 continue
-            elif not connection.inbox.room or not connection.sock.read(connection.inbox):
+            elif not connection.sock.read(connection.inbox):
                 raise ConnectionResetError("node closed the connection")
             step = exchange.received(connection.inbox)
         return step
 
+    def _extend_inbox(self, connection: Connection, min_bytes: int) -> bool:
+        """Wait for memory and extend the inbox to `min_bytes`; False: no answer may be that large.
+
+        A `min_bytes` that the inbox can hold already means that the answer's size is not known.
+        """
+        bound = connection.inbox.bound
+        if min_bytes > bound:
+            extended = min_bytes + FRAMING_BYTES
+        elif bound < MAX_USUAL_ANSWER_BYTES:
+            extended = MAX_USUAL_ANSWER_BYTES
+        else:
+            return False
+        lease = self.memory.lease(extended - bound)
+        if lease is None:
+            return False
+        connection.leases += (lease,)
+        connection.inbox.reserve(extended)
+        return True
+
     def _write(self, attempt: Attempt, connection: Connection, step: Step, wait_us: int) -> None:
         connection.sock.write(attempt, step.data, partial(self._first_byte, attempt, step))
         if not step.may_run:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -22,7 +22,7 @@
 from rackseam.interface import Plan, RequestClass, Settings
 from stackrouter.core import counters
 from stackrouter.core.engine import Engine
-from stackrouter.core.memory import MemoryAccount
+from stackrouter.core.memory import AnswerMemory, MemoryAccount
 from stackrouter.core.model import Request, Result, Verdict
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
@@ -199,6 +199,24 @@
         self.assert_serves(gateway)
         self.assertLess(gateway.peak_mb, MEMORY_MB)
 
+    def test_answers_that_are_not_read_stay_within_the_memory(self) -> None:
+        """Guards against a gateway killed because answers of usual size wait uncounted for slow clients."""
+        gateway, reads = GatewayProcess(self, value_bytes=150_000), 70  # the system holds 4 MiB
+
+        def read_late(number: int) -> None:
+            with gateway.connect(receive_buffer_bytes=4096) as sock:
+                for nth in range(reads):
+                    sock.sendall(command(b"BLK.READ", number * reads + nth))
+                    gevent.sleep(0.05)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+                answers = Counter[bytes]()
+                read_answers(sock, answers, enough=reads)
+                self.assertEqual(answers.total(), reads)
+
+        self.crowd(20, read_late)
+        self.assert_serves(gateway)
+        self.assertLess(gateway.peak_mb, MEMORY_MB)
+
 
 class MemoryOfEngine(unittest.TestCase):
     def setUp(self) -> None:
@@ -246,3 +264,19 @@
         engine.process_events()
         self.assertFalse(engine.requests)
         self.assertEqual(memory.used_bytes, 0)
+
+
+class AnswerMemoryTest(unittest.TestCase):
+    def test_usual_answers_do_not_wait_behind_large_ones(self) -> None:
+        """Guards against one account for all answers, in which a few large ones delay all others."""
+        memory = AnswerMemory(usual_bytes=100_000, large_bytes=1_000_000)
+        large = memory.lease(900_000)
+        usual = memory.lease(90_000)
+        self.assertIsNotNone(large)
+        self.assertIsNotNone(usual)
+        waiting = gevent.spawn(memory.lease, 50_000)
+        gevent.sleep(0)
+        self.assertFalse(waiting.ready())
+        del usual
+        self.assertIsNotNone(waiting.get(timeout=1.0))
+        self.assertIsNone(memory.lease(1_000_001))
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -17,6 +17,7 @@
 from rackseam.interface import Effect, ListKind, NodeEntry, NodeState, Plan, RequestClass, Settings
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
+from stackrouter.core.memory import AnswerMemory
 from stackrouter.core.model import Attempt, Request, Result, Verdict
 from stackrouter.fronts.platform.node import Command
 from stackrouter.net.pool import Pool
@@ -65,7 +66,15 @@
     def start(self, cancel: bool = True) -> Engine:
         settings = Settings(classes=CLASSES, plans=(Plan(),), max_attempts=3, may_cancel=cancel, step_us=2000)
         engine = Engine(settings, 100, Counters())
-        pool = Pool(10, 1 << 20, 250_000, 15_000_000, engine.counters, engine.attempt_ended, engine.gate)
+        pool = Pool(
+            10,
+            AnswerMemory(1 << 20, 1 << 20),
+            250_000,
+            15_000_000,
+            engine.counters,
+            engine.attempt_ended,
+            engine.gate,
+        )
         engine.transport = pool
         connect = pool._connect
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -20,6 +20,7 @@
 from rackseam.interface import ListKind, NodeEntry, Plan, RequestClass, Settings
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
+from stackrouter.core.memory import AnswerMemory
 from stackrouter.core.model import Request, Result, Verdict
 from stackrouter.core.wheel import SLOTS, Wheel
 from stackrouter.fronts.platform.node import Command
@@ -145,7 +146,9 @@
         settings = Settings(classes=(RequestClass(10_000_000, 10_000_000),), plans=(Plan(),))
         counters = Counters()
         engine = Engine(settings, 100, counters)
-        pool = engine.transport = Pool(10, 1 << 20, 250_000, 15_000_000, counters, engine.attempt_ended)
+        pool = engine.transport = Pool(
+            10, AnswerMemory(1 << 20, 1 << 20), 250_000, 15_000_000, counters, engine.attempt_ended
+        )
         loop = gevent.spawn(engine.run)
         self.addCleanup(loop.kill)
         held = []
