Refuse what comes behind an owed answer on connections to be closed

Cause: a connection is closed only at a moment when no answer is owed (Listener.stop, Drain.should_close); with an answer always owed there is none. Gateway.serve gave up 0.5 s and the longest deadline after SIGTERM (3.5 s), while the gate took requests until 0.15 s before the kill (3.55 s): what was taken last was cut off.

Ruled out: an end in the middle (what was read would be lost), and an end of reading (what the client has sent counts as taken; refusing it gives it an answer); late answers of the nodes (they came after 44 ms).

Change: from 0.5 s after a drain or a stop began to close connections, a request that arrives behind an owed answer is refused at once with -BUSY (ops/drain.py, refuses_pipelined; SFTP: FAILURE). Then every owed answer comes, and the connection is closed right after it. The exit follows the gate's time of the kill alone (Gate.takes_no_more, must_exit): it waits until nothing is taken any more and all is answered, and comes 50 ms before the kill. A request whose own deadline is later than that is answered by then too (Engine.stop).

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -261,7 +261,7 @@
             self.extras.print_summary()
 
     def serve(self) -> None:
-        """Serves until a stop is requested; returns once all requests taken by then are answered."""
+        """Serves until a stop is requested; returns once all requests that were taken are answered."""
         self._terminated.wait()
         self.engine.stop()
         if self.extras is not None:
@@ -270,14 +270,21 @@
         for listener in self.listeners:
             listener.stop()
         # Bounded: a client that never reads its answer must not delay the exit until the platform kills it.
-        until_us = clock_us() + max(c.deadline_us for c in self.engine.settings.classes)
-        while clock_us() < until_us and not (self.engine.idle() and all(li.idle() for li in self.listeners)):
+        gate = self.engine.gate
+        while not gate.takes_no_more(clock_us()) and not self._idle():
             gevent.sleep(FINISH_STEP_S)
         # The last answers may be in transit: exiting with unread bytes of clients resets their connections.
-        until_us = min(until_us, clock_us() + int(LINGER_S * 1e6))
-        while any([li.leave() for li in self.listeners]) and clock_us() < until_us:
+        linger_until_us = clock_us() + int(LINGER_S * 1e6)
+        while clock_us() < linger_until_us and not gate.must_exit(clock_us()):
+            also_unread = gate.takes_no_more(clock_us())
+            if not any([listener.leave(also_unread) for listener in self.listeners]):
+                return
             gevent.sleep(FINISH_STEP_S)
 
+    def _idle(self) -> bool:
+        """Whether no request is open, and nothing that may be one is unread."""
+        return self.engine.idle() and all(listener.idle() for listener in self.listeners)
+
 
 def open_shared_limits(
     config: Config, counters: Counters
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -152,7 +152,7 @@
             self._shared_limits.settings = settings
 
     def wake(self) -> None:
-        """Wakes the loop, so that other processes of this gateway are noticed while no requests arrive."""
+        """Wakes the loop, so that it sees what changed while no requests arrive."""
         self._queue.put(WAKE_UP)
 
     def withdraw(self, request: Request) -> None:
@@ -169,8 +169,14 @@
         self._queue.put((self._update_nodes, (kind, version, entries, addresses)))
 
     def stop(self) -> None:
-        """Called at SIGTERM: later requests are answered before the platform may kill the process."""
+        """Called at SIGTERM: all requests are answered before the platform may kill the process."""
         self.gate.stop(self.clock(), max(c.deadline_us for c in self.settings.classes))
+        for request in self.requests.values():
+            answer_by_us = self.gate.answer_by_us(request.deadline_us)
+            if answer_by_us < request.deadline_us:
+                request.deadline_us = answer_by_us
+                self._add_backstop(request)
+        self.wake()
 
     def written(self, attempt: Attempt) -> None:
         """Called by the transport once the attempt's last byte has been written."""
@@ -305,10 +311,14 @@
         request_class = self.settings.classes[request.request_class]
         if request_class.effect is not Effect.SAFE:
             request.repeat_window_us = request_class.key_ttl_us if request_class.effect is Effect.KEYED else 0
-        # Whatever goes wrong in between, this timer gets the request answered within the answer slack.
+        self._add_backstop(request)
+        self._events.append(arrival)
+
+    def _add_backstop(self, request: Request) -> None:
+        """Whatever goes wrong in between, this timer gets the request answered within the answer slack."""
+        cancel_timer(request.backstop)
         overdue_us = request.deadline_us + self.settings.answer_slack_us // 2
         request.backstop = self._wheel.add(overdue_us, lambda: self._on_overdue(request))
-        self._events.append(arrival)
 
     def _on_overdue(self, request: Request) -> None:
         """If this process was delayed, the module's own timer for the request is due as well: let it answer
--- a/stackrouter/core/gate.py
+++ b/stackrouter/core/gate.py
@@ -27,6 +27,8 @@
 # The process may be delayed this long between reading its clock and writing, so whatever must be finished
 # before the kill is due this much earlier.
 MAX_SCHEDULING_DELAY_US: Final = 150_000
+# The process exits by itself this long before the kill, after the last answers have been written.
+EXIT_MARGIN_US: Final = 50_000
 
 
 class Denial(enum.Enum):
@@ -61,26 +63,35 @@
 
 
 class Gate:
-    """The rules. The only state is the time of a planned stop.
+    """The rules. The only state is the time of the kill at a planned stop.
 
     `charge_valid`: called with a request's charge and the time; whether the units reserved for the request
     may still be spent. It matters where other processes of this gateway draw on the same limits.
     """
 
     def __init__(self) -> None:
-        self._answer_by_us: int | None = None
+        self._kill_us: int | None = None
         self.charge_valid: Callable[[object, int], bool] = lambda charge, now_us: True
 
     # --- requests
 
     def stop(self, now_us: int, longest_deadline_us: int) -> None:
         """Called at SIGTERM: every later request is to be answered before the process may be killed."""
-        kill_us = now_us + min(longest_deadline_us, MAX_COUNTED_DEADLINE_US) + KILL_AFTER_US
-        self._answer_by_us = kill_us - MAX_SCHEDULING_DELAY_US
+        self._kill_us = now_us + min(longest_deadline_us, MAX_COUNTED_DEADLINE_US) + KILL_AFTER_US
 
     def answer_by_us(self, deadline_us: int) -> int:
-        """The time by which a request that is taken now has to be answered."""
-        return deadline_us if self._answer_by_us is None else min(deadline_us, self._answer_by_us)
+        """The time by which a request with this deadline has to be answered."""
+        if self._kill_us is None:
+            return deadline_us
+        return min(deadline_us, self._kill_us - MAX_SCHEDULING_DELAY_US)
+
+    def takes_no_more(self, now_us: int) -> bool:
+        """Whether every request that arrives now is refused, as its answer could come after the kill."""
+        return self._kill_us is not None and now_us >= self._kill_us - MAX_SCHEDULING_DELAY_US
+
+    def must_exit(self, now_us: int) -> bool:
+        """Whether the process has to exit now, to be gone before the kill."""
+        return self._kill_us is not None and now_us >= self._kill_us - EXIT_MARGIN_US
 
     def may_take(self, deadline_us: int, now_us: int) -> Denial | None:
         """Whether a request that was read may be processed; if not, it is refused at once."""
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -80,6 +80,11 @@
     return False
 
 
+def take_pipelined() -> bool:
+    """Default for `Session.refuses_pipelined` where there is no connection: requests are never refused."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """A client's request, independent of its protocol. `deadline_us`: when its client stops waiting."""
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -14,7 +14,14 @@
 from rackseam.interface import Effect, Settings
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.core.model import Inbox, Request, Result, Verdict, assume_connected
+from stackrouter.core.model import (
+    Inbox,
+    Request,
+    Result,
+    Verdict,
+    assume_connected,
+    take_pipelined,
+)
 from stackrouter.errors import ClientCommandError, log_error
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
@@ -164,6 +171,7 @@
     ) -> None:
         self._engine, self._names, self._counters, self._wake = engine, names, counters, wake
         self.client_hung_up = assume_connected
+        self.refuses_pipelined = take_pipelined
         self._slots: deque[_Slot] = deque()
         self.min_inbox_bytes = 0
 
@@ -205,7 +213,10 @@
             else:
                 slot.request, slot.id = request, parts[2]
                 self._names.open_ids.add(slot.id)
-                self._engine.submit(request)
+                if self._slots and self.refuses_pipelined():
+                    self._engine.refuse(request, "requests.refused_at_close", pause_us=0)
+                else:
+                    self._engine.submit(request)
             self._slots.append(slot)
         elif name == b"PING" and not self._names.drain.serving:
             self._slots.append(_Slot(DRAINING))
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -14,7 +14,7 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.engine import Engine, clock_us
-from stackrouter.core.model import Inbox, Request, Result, Verdict, assume_connected
+from stackrouter.core.model import Inbox, Request, Result, Verdict, assume_connected, take_pipelined
 from stackrouter.fronts.sftp import packets
 from stackrouter.fronts.sftp.config import SftpConfig, Volume
 from stackrouter.fronts.sftp.keys import ATTRIBUTES, EXISTENCE, WHOLE, Extent, Keys, overlap
@@ -104,6 +104,7 @@
     def __init__(self, shared: SftpContext, wake: Callable[[], None]) -> None:
         self._shared, self._wake = shared, wake
         self.client_hung_up = assume_connected
+        self.refuses_pipelined = take_pipelined
         self.min_inbox_bytes = 0  # packets are bounded: no larger inbox is needed
         self._ready: deque[_Answer] = deque()
         self._written = NO_ANSWER  # the packet that the connection is writing
@@ -181,8 +182,12 @@
         """Submit an operation to the core.
 
         `change`: content that the idempotency key of a change is derived from, None for a read; `size`: bytes
-        of data; `other`: a second path that the operation touches.
+        of data; `other`: a second path that the operation touches. RequestError: the connection is to be
+        closed as soon as the requests before this one have been answered.
         """
+        if self.pending() and self.refuses_pipelined():
+            self._shared.counters.add("sftp.refused_at_close")
+            raise RequestError(Status.FAILURE, "busy: come again on another connection")
         config, now = self._shared.config, clock_us()
         path = operation.path.decode()
         volume = self._volume(path)
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -26,7 +26,7 @@
 from stackrouter.net.listen_socket import listen_at
 from stackrouter.net.ring import INITIAL_BYTES, Ring
 from stackrouter.net.socket_errors import AcceptError, accept_error
-from stackrouter.ops.drain import Drain
+from stackrouter.ops.drain import Drain, refuses_pipelined
 
 log = logging.getLogger(__name__)
 
@@ -80,6 +80,8 @@
 
     # Set by the connection: whether the client has closed, even if not yet read.
     client_hung_up: Callable[[], bool]
+    # Set by the connection: whether a request behind one that is not answered yet is refused at once.
+    refuses_pipelined: Callable[[], bool]
     # Minimum size in bytes of the request that `received` found incomplete; not more than the inbox holds:
     # unknown.
     min_inbox_bytes: int
@@ -122,6 +124,7 @@
 
         self.session = listener.session(wake)
         self.session.client_hung_up = sock.hung_up
+        self.session.refuses_pipelined = listener.refuses_pipelined
         # The writer is started with the first answer: many connections never send a request.
         self._greenlets = [gevent.spawn(self._guard, self._read)]
 
@@ -341,7 +344,7 @@
                 self._write_some()
                 self._touch()
                 continue
-            if self.listener.stopping:
+            if self.listener.stopping_since is not None:
                 self.finish()
             if self.drained(time.monotonic()):  # end right after the last answer
                 self.listener.counters.add("clients.drained")
@@ -396,7 +399,7 @@
         self.connections: dict[Connection, None] = {}  # longest inactive first
         self.lingering: dict[Connection, None] = {}  # ended here but not yet by the client; oldest first
         self._full_since = 0.0  # since when no client could be accepted; 0: not full
-        self.stopping = False
+        self.stopping_since: float | None = None
         self.drain, self.gate = drain or Drain(), gate or Gate()
         self.memory = memory or MemoryAccount(max_clients * INBOX_BYTES)
         self._inherited = inherited is not None
@@ -406,7 +409,7 @@
 
     def stop(self) -> None:
         """Accept no more connections and end idle ones; the others end with their last answer."""
-        self.stopping = True
+        self.stopping_since = time.monotonic()
         self._greenlets[0].kill()
         self._sock.setblocking(False)
         tries = MAX_STOP_ACCEPT_FAILURES
@@ -441,15 +444,22 @@
             self.counters.add("clients.drained")
             connection.end()
 
-    def leave(self) -> bool:
-        """At the exit: end connections with no answer owed and nothing to read, or a partial request.
+    def leave(self, also_unread: bool = False) -> bool:
+        """At the exit: end connections on which no answer is owed, partial requests or not.
 
-        Returns whether any connection is still open.
+        `also_unread`: also those with bytes to read, since nothing is taken any more. Returns whether any
+        connection is still open.
         """
-        for connection in [c for c in self.connections if c.quiescent()]:
-            connection.end(planned=False)
+        for connection in list(self.connections):
+            if connection.settled() if also_unread else connection.quiescent():
+                connection.end(planned=False)
         return bool(self.lingering or self.connections)
 
+    def refuses_pipelined(self) -> bool:
+        """Whether a request that arrives while an answer is owed on its connection is refused now."""
+        now = time.monotonic()
+        return any(refuses_pipelined(now, since) for since in (self.stopping_since, self.drain.since))
+
     def idle(self) -> bool:
         """Whether all requests taken are answered and nothing is unread; partial requests do not count."""
         return all(connection.quiescent() for connection in self.connections)
--- a/stackrouter/ops/drain.py
+++ b/stackrouter/ops/drain.py
@@ -1,5 +1,5 @@
 """Drain by PING: the state behind the admin calls `standby` and `active`, and which client connections are
-closed while it lasts.
+closed while it lasts; and what is still taken on connections that are to be closed, at a drain or a stop.
 
 The operator documentation says: the front sends PING every 0.1 s; after the first negative answer it opens
 new connections for another 0.2 s; 4 s after `standby`, a positive answer, an idle connection or one that sent
@@ -13,6 +13,18 @@
 
 # A new connection is about to send its first request: closing it would lose that request.
 NEW_CONNECTION_GRACE_S = 0.1
+# Most connections have a moment at which no answer is owed, and so can be closed, within this time.
+PIPELINED_GRACE_S = 0.5
+
+
+def refuses_pipelined(now: float, closing_since: float | None) -> bool:
+    """Whether a request that arrives while an answer is owed on its connection is refused.
+
+    `closing_since`: when all connections began to be closed as soon as no answer is owed on them; None: they
+    are not being closed. A client that sends several requests at once and goes on would otherwise keep its
+    connection, and requests open on it, for as long as the gateway serves.
+    """
+    return closing_since is not None and now - closing_since > PIPELINED_GRACE_S
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/loopback_rig.py
@@ -0,0 +1,170 @@
+"""Test rig on loopback: the real program with nodes that work, and clients over gevent sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from stackrouter.fronts.platform import resp
+from tests.exchange import ROOT, SETTINGS, Discovery, free_address
+
+POLL_S = 0.01
+PATIENCE_S = 30.0
+NODES = 4
+WORK_S = 0.02  # of a node, for one request
+
+
+def command(name: bytes, number: int, body: bytes | None = None) -> bytes:
+    """A command of a volume and a shard that follow from its number."""
+    request_class = b"turn-write" if name == b"BLK.WRITE" else b"match-read"
+    fields = b"c=%b,t=priority,d=3000,k=%d,volume=%016x,units=1,shard=%d,hosts=1" % (
+        request_class, number, number % 7, number % NODES)  # fmt: skip
+    words = [name, b"%016x" % number, b"%016x" % number, fields]
+    return resp.command(*words, *([] if body is None else [body]))
+
+
+class Node:
+    """A storage node that answers each command after `work_s` with a value of `value_bytes`. `received`: the
+    ids of the requests that have come whole."""
+
+    def __init__(self, value_bytes: int, work_s: float) -> None:
+        self.received: list[bytes] = []
+        self._work_s = work_s
+        value = bytes(value_bytes)
+        self._answer = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        stream = sock.makefile("rb")
+        try:
+            while head := stream.readline():
+                words = [stream.read(int(stream.readline()[1:]) + 2)[:-2] for _ in range(int(head[1:]))]
+                self.received.append(words[2])
+                gevent.sleep(self._work_s)
+                sock.sendall(self._answer)
+        except OSError:
+            pass
+        finally:
+            stream.close()
+            sock.close()
+
+
+class GatewayProcess:
+    """The real program before `NODES` nodes. `peak_mb`: its largest resident memory so far, in MB."""
+
+    def __init__(self, test: unittest.TestCase, *, value_bytes: int = 2, work_s: float = WORK_S,
+                 memory_mb: int = 192, held: socket.socket | None = None) -> None:  # fmt: skip
+        """`value_bytes`, `work_s`: of the nodes; `held`: a listening socket that it inherits, as at an
+        upgrade."""
+        self.nodes = [Node(value_bytes, work_s) for _ in range(NODES)]
+        entries = []
+        for shard, node in enumerate(self.nodes):
+            test.addCleanup(node.server.stop)
+            entries.append({"name": f"s{shard}", "address": f"127.0.0.1:{node.server.server_port}",
+                            "zone": "hall-a", "type": "m", "group": shard, "status": "up", "weight": 1.0,
+                            "since_ms": 0})  # fmt: skip
+        discovery = Discovery(entries, silent=False)
+        folder = tempfile.TemporaryDirectory()
+        for cleanup in (folder.cleanup, discovery.server_close, discovery.shutdown):
+            test.addCleanup(cleanup)
+        host, _, port = free_address().rpartition(":")
+        self.address = (host, int(port)) if held is None else held.getsockname()
+        self.admin = free_address()
+        settings = {**SETTINGS, "Caps": {**SETTINGS["Caps"], "MaxOpen": 33333}}
+        config = {"listen": f"{host}:{port}", "discovery": "{}:{}".format(*discovery.server_address),
+                  "limits": {"memory_mb": memory_mb, "sockets": 1024}, "admin": self.admin,
+                  "known": {"index": 1, "snapshot": True, "endpoints": entries},
+                  "settings": settings}  # fmt: skip
+        self.config, self._path = config, Path(folder.name, "config.json")
+        self.write_config(config)
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+        environ |= {"GW_CONFIG": str(self._path), "TMPDIR": folder.name}
+        if held is not None:
+            environ["GW_LISTEN_FD"] = str(held.fileno())
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "stackrouter"], cwd=ROOT, env=environ, text=True, stderr=subprocess.PIPE,
+            pass_fds=() if held is None else (held.fileno(),),
+        )  # fmt: skip
+        assert self.program.stderr is not None
+        for stop in (self.program.stderr.close, self.program.wait, self.program.kill):
+            test.addCleanup(stop)
+        assert "listening" in self.program.stderr.readline()
+        self.peak_mb = 0.0
+        watcher = gevent.spawn(self._watch)
+        test.addCleanup(watcher.kill)
+
+    def _watch(self) -> None:
+        while self.program.poll() is None:
+            for line in Path(f"/proc/{self.program.pid}/status").read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+            gevent.sleep(POLL_S)
+
+    def connect(self, receive_buffer_bytes: int | None = None) -> socket.socket:
+        """Connect a client; a small receive buffer leaves what it does not read to the gateway."""
+        sock = socket.socket()
+        sock.settimeout(PATIENCE_S)
+        if receive_buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        sock.connect(self.address)
+        return sock
+
+    def write_config(self, config: dict[str, Any]) -> None:
+        self._path.write_text(json.dumps(config))
+
+    def reload(self, config: dict[str, Any]) -> None:
+        """Replace the configuration and send SIGHUP."""
+        self.write_config(config)
+        self.program.send_signal(signal.SIGHUP)
+
+    def call(self, line: bytes) -> bytes:
+        """The answer to a call at the admin port."""
+        host, _, port = self.admin.rpartition(":")
+        with socket.create_connection((host, int(port)), PATIENCE_S) as sock:
+            sock.sendall(line + b"\n")
+            return bytes(sock.recv(256))
+
+    def received(self) -> list[bytes]:
+        """The ids of all requests that nodes have got."""
+        return [request_id for node in self.nodes for request_id in node.received]
+
+    def wait(self) -> int:
+        """Wait until it has exited; its exit code."""
+        with gevent.Timeout(PATIENCE_S):
+            while self.program.poll() is None:
+                gevent.sleep(POLL_S)
+        return self.program.wait()
+
+    def stop(self) -> dict[str, int]:
+        """Stop it as at a planned restart; its counters."""
+        self.program.send_signal(signal.SIGTERM)
+        assert self.program.stderr is not None
+        lines = self.program.stderr.read().splitlines()
+        return dict(json.loads(next(line for line in reversed(lines) if line.startswith("{"))))
+
+
+def read_answers(sock: socket.socket, answers: Counter[bytes], enough: int | None = None) -> None:
+    """Count answers by their first word until the connection ends, or until `enough` have come."""
+    stream = sock.makefile("rb")
+    try:
+        while (enough is None or answers.total() < enough) and (line := stream.readline()):
+            if line.startswith(b"$"):
+                stream.read(int(line[1:]) + 2)
+            answers[line[:1] if line.startswith(b"$") else line.split()[0]] += 1
+    except OSError:
+        pass
+    finally:
+        stream.close()
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -16,7 +16,7 @@
 
 from stackrouter.core.counters import Counters
 from stackrouter.core.gate import ClientState, Denial
-from stackrouter.core.model import Inbox, assume_connected
+from stackrouter.core.model import Inbox, assume_connected, take_pipelined
 from stackrouter.net import listener as listening
 from stackrouter.net.listener import ClientTimeouts, Connection, Listener, MalformedError
 from stackrouter.ops.drain import Drain
@@ -30,6 +30,7 @@
     def __init__(self, wake: Callable[[], None], most: int) -> None:
         self.wake, self.most, self.left = wake, most, False
         self.client_hung_up = assume_connected
+        self.refuses_pipelined = take_pipelined
         self.min_inbox_bytes = 0
         self.taken: list[bytes] = []
         self.slots: list[bytes | None] = []
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -158,6 +158,20 @@
         self.assertLessEqual(gate.answer_by_us(stop + left), kill - 150 * MS)
         self.assertIs(gate.may_take(kill + S, kill - 150 * MS), Denial.STOPPING)
 
+    @given(st.integers(0, 5 * S), st.integers(0, 10 * S), st.integers(0, 20 * S))
+    def test_the_exit_comes_after_the_last_answer_is_due_and_before_the_kill(
+        self, stop: int, longest: int, now: int
+    ) -> None:
+        """Guards against an exit while requests are still taken, which lost the last ones."""
+        gate = Gate()
+        self.assertFalse(gate.takes_no_more(now) or gate.must_exit(now))
+        gate.stop(stop, longest)
+        kill = stop + min(longest, 3 * S) + 700 * MS
+        self.assertEqual(gate.takes_no_more(now), now >= gate.answer_by_us(kill))
+        self.assertEqual(gate.takes_no_more(now), gate.may_take(kill, now) is Denial.STOPPING)
+        self.assertTrue(gate.takes_no_more(now) or not gate.must_exit(now))
+        self.assertTrue(gate.must_exit(kill - 1))
+
     @given(st.integers(-S, 20 * S))
     def test_the_wait_stated_to_a_node_never_exceeds_the_time_left(self, now: int) -> None:
         request = make_request()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,147 +3,26 @@
 from __future__ import annotations
 
 import contextlib
-import json
-import os
-import signal
-import subprocess
-import sys
-import tempfile
 import unittest
 from collections import Counter
 from collections.abc import Callable
-from pathlib import Path
-from typing import Any
 
 import gevent
 from gevent import socket
-from gevent.server import StreamServer
 
 from rackseam.interface import Plan, RequestClass, Settings
 from stackrouter.core import counters
 from stackrouter.core.engine import Engine
 from stackrouter.core.memory import AnswerMemory, MemoryAccount
 from stackrouter.core.model import Request, Result, Verdict
-from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
-from tests.exchange import ROOT, SETTINGS, Discovery, free_address
+from tests.loopback_rig import PATIENCE_S, POLL_S, GatewayProcess, command, read_answers
 
 MEMORY_MB = 64
-POLL_S = 0.01
-PATIENCE_S = 30.0
-NODES = 4
-WORK_S = 0.02  # of a node, for one request
 VALUE = bytes(64 * 1024)
 CLASSES = (RequestClass(100_000, 500_000),)
 
 
-def command(name: bytes, number: int, body: bytes | None = None) -> bytes:
-    """A command of a volume and a shard that follow from its number."""
-    request_class = b"turn-write" if name == b"BLK.WRITE" else b"match-read"
-    fields = b"c=%b,t=priority,d=3000,k=%d,volume=%016x,units=1,shard=%d,hosts=1" % (
-        request_class, number, number % 7, number % NODES)  # fmt: skip
-    words = [name, b"%016x" % number, b"%016x" % number, fields]
-    return resp.command(*words, *([] if body is None else [body]))
-
-
-class Node:
-    """A storage node that answers each command after `WORK_S` with a value of `value_bytes`."""
-
-    def __init__(self, value_bytes: int) -> None:
-        value = bytes(value_bytes)
-        self._answer = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
-        self.server = StreamServer(("127.0.0.1", 0), self._serve)
-        self.server.start()
-
-    def _serve(self, sock: socket.socket, _: object) -> None:
-        stream = sock.makefile("rb")
-        try:
-            while head := stream.readline():
-                for _ in range(int(head[1:])):
-                    stream.read(int(stream.readline()[1:]) + 2)
-                gevent.sleep(WORK_S)
-                sock.sendall(self._answer)
-        except OSError:
-            pass
-        finally:
-            stream.close()
-            sock.close()
-
-
-class GatewayProcess:
-    """The real program with `MEMORY_MB`, before `NODES` nodes. `peak_mb`: its largest resident memory."""
-
-    def __init__(self, test: unittest.TestCase, value_bytes: int = 2) -> None:
-        entries = []
-        for shard in range(NODES):
-            node = Node(value_bytes)
-            test.addCleanup(node.server.stop)
-            entries.append({"name": f"s{shard}", "address": f"127.0.0.1:{node.server.server_port}",
-                            "zone": "hall-a", "type": "m", "group": shard, "status": "up", "weight": 1.0,
-                            "since_ms": 0})  # fmt: skip
-        discovery = Discovery(entries, silent=False)
-        folder = tempfile.TemporaryDirectory()
-        for cleanup in (folder.cleanup, discovery.server_close, discovery.shutdown):
-            test.addCleanup(cleanup)
-        host, _, port = free_address().rpartition(":")
-        self.address = host, int(port)
-        settings = {**SETTINGS, "Caps": {**SETTINGS["Caps"], "MaxOpen": 33333}}
-        config = {"listen": f"{host}:{port}", "discovery": "{}:{}".format(*discovery.server_address),
-                  "limits": {"memory_mb": MEMORY_MB, "sockets": 1024},
-                  "known": {"index": 1, "snapshot": True, "endpoints": entries},
-                  "settings": settings}  # fmt: skip
-        path = Path(folder.name, "config.json")
-        path.write_text(json.dumps(config))
-        environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")} | {"GW_CONFIG": str(path)}
-        self.program = subprocess.Popen(
-            [sys.executable, "-m", "stackrouter"], cwd=ROOT, env=environ, text=True, stderr=subprocess.PIPE
-        )
-        assert self.program.stderr is not None
-        for stop in (self.program.stderr.close, self.program.wait, self.program.kill):
-            test.addCleanup(stop)
-        assert "listening" in self.program.stderr.readline()
-        self.peak_mb = 0.0
-        watcher = gevent.spawn(self._watch)
-        test.addCleanup(watcher.kill)
-
-    def _watch(self) -> None:
-        while True:
-            for line in Path(f"/proc/{self.program.pid}/status").read_text().splitlines():
-                if line.startswith("VmRSS:"):
-                    self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
-            gevent.sleep(POLL_S)
-
-    def connect(self, receive_buffer_bytes: int | None = None) -> socket.socket:
-        """Connect a client; a small receive buffer leaves what it does not read to the gateway."""
-        sock = socket.socket()
-        sock.settimeout(PATIENCE_S)
-        if receive_buffer_bytes is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
-        sock.connect(self.address)
-        return sock
-
-    def stop(self) -> dict[str, int]:
-        """Stop it as at a planned restart; its counters."""
-        self.program.send_signal(signal.SIGTERM)
-        assert self.program.stderr is not None
-        lines = self.program.stderr.read().splitlines()
-        return dict(json.loads(next(line for line in reversed(lines) if line.startswith("{"))))
-
-
-def read_answers(sock: socket.socket, answers: Counter[bytes], enough: int | None = None) -> None:
-    """Count answers by their first word until the connection ends, or until `enough` have come."""
-    stream = sock.makefile("rb")
-    try:
-        while (enough is None or answers.total() < enough) and (line := stream.readline()):
-            if line.startswith(b"$"):
-                stream.read(int(line[1:]) + 2)
-            answers[line[:1] if line.startswith(b"$") else line.split()[0]] += 1
-    except OSError:
-        pass
-    finally:
-        stream.close()
-
-
 class MemoryOfProcess(unittest.TestCase):
     def crowd(self, clients: int, play: Callable[[int], None]) -> None:
         """Run `play` for so many clients at a time."""
@@ -164,7 +43,7 @@
 
     def test_large_commands_sent_at_once_stay_within_the_memory(self) -> None:
         """Guards against a gateway killed because commands are held before the bound on open requests."""
-        gateway, commands = GatewayProcess(self), 100
+        gateway, commands = GatewayProcess(self, memory_mb=MEMORY_MB), 100
 
         def flood(number: int) -> None:
             with gateway.connect() as sock:
@@ -185,7 +64,7 @@
 
     def test_large_commands_that_are_never_completed_stay_within_the_memory(self) -> None:
         """Guards against a gateway killed because each connection may hold most of a large command."""
-        gateway = GatewayProcess(self)
+        gateway = GatewayProcess(self, memory_mb=MEMORY_MB)
 
         def send_most(number: int) -> None:
             with gateway.connect() as sock:
@@ -201,7 +80,10 @@
 
     def test_answers_that_are_not_read_stay_within_the_memory(self) -> None:
         """Guards against a gateway killed because answers of usual size wait uncounted for slow clients."""
-        gateway, reads = GatewayProcess(self, value_bytes=150_000), 70  # the system holds 4 MiB
+        gateway, reads = (
+            GatewayProcess(self, value_bytes=150_000, memory_mb=MEMORY_MB),
+            70,
+        )  # the system holds 4 MiB
 
         def read_late(number: int) -> None:
             with gateway.connect(receive_buffer_bytes=4096) as sock:
@@ -226,10 +108,10 @@
         settings = Settings(classes=CLASSES, plans=(Plan(),), step_us=2000, retry_after_most_us=1_000_000)
         return Engine(settings, max_open, counters.Counters(), clock=lambda: 1_000_000, request_memory=memory)
 
-    def request(self, body: bytes, **changes: Any) -> Request:
+    def request(self, body: bytes) -> Request:
         exchange = Command(b"BLK.WRITE", b"", b"", (), (body,)).exchange
         return Request(0, 0, "v", 1.0, 0, 1, "k", 1_500_000, exchange, self.results.append, "platform",
-                       body_bytes=len(body), **changes)  # fmt: skip
+                       body_bytes=len(body))  # fmt: skip
 
     def test_requests_in_the_queue_count_as_open(self) -> None:
         """Guards against requests that are queued without bound before the loop applies the bound."""
