Reject a changed file that lacks a key of the file in force

Cause: ops/retune.check asked only for Name, HardLimitUs and what was there of AimUs and MaxAttempts; parse_settings (rackseam/benchlink.py) read a missing effect as "safe". Other keys took defaults as well: Group "all" (a keyed write may be repeated anywhere), CeilingRate none, `limits` 192 MB and 1,024 descriptors. The start had the same default.

Ruled out: a cut or half-written file (the JSON was whole, the log said "configuration reloaded"); the delay of the class names (the effect was wrong from the file on).

Change: ops/config_shape.py, pure: the keys and kinds of values of the file in force; a new file must have them all, but for those that the wire protocol calls optional and what is read at the start only (inside `known`). Whatever was in force, each class must have its Effect, a keyed one its Group. The start needs Effect too: one line, exit code 2. Why it works: a missing key can no longer be told from a default, so it is not given one.

--- a/rackseam/benchlink.py
+++ b/rackseam/benchlink.py
@@ -76,7 +76,7 @@
         RequestClass(
             aim_us=profile.get("AimUs") or profile["HardLimitUs"],
             deadline_us=profile["HardLimitUs"],
-            effect=Effect(profile.get("Effect") or "safe"),
+            effect=Effect(profile["Effect"]),  # no default: one that is wrong makes writes run twice
             group=profile.get("Group") or "all",
             key_ttl_us=profile.get("KeyTtlUs") or 0,
             ordered=bool(profile.get("FifoByKey")),
--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -171,7 +171,7 @@
     def reload(self) -> None:
         """Reloads the configuration file; an invalid file changes nothing."""
         try:
-            config = reload()
+            config = reload(self.config)
             settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
                                              self.names.classes, config.writes_stated)  # fmt: skip
         except ConfigError as error:
--- a/stackrouter/config.py
+++ b/stackrouter/config.py
@@ -19,6 +19,7 @@
     UnsetError,
     VariableError,
 )
+from stackrouter.ops.config_shape import Shape, shape_of
 from stackrouter.ops.retune import check
 
 RESERVED_SOCKETS = 32  # descriptors reserved for the log, the event loop, listeners and discovery
@@ -59,6 +60,7 @@
     node_sockets: int
     listen_fd: int | None = None  # inherited listening socket for clients, kept by the platform at upgrades
     admin: tuple[str, int] | None = None  # address of the admin port
+    shape: Shape | None = None  # of the file, whose keys a file that replaces it must have
     writes_stated: bool = True  # FamilyInfo.ClassWrites has a flag for each class of Profiles
 
 
@@ -82,9 +84,11 @@
     return int(text)
 
 
-def load(environ: Mapping[str, str] = os.environ, strict: bool = False) -> Config:
-    """Reads the configuration. `strict`: with the stricter checks for a reload (ops.retune.check). Raises
-    ConfigError."""
+def load(
+    environ: Mapping[str, str] = os.environ, strict: bool = False, in_force: Shape | None = None
+) -> Config:
+    """Reads the configuration. `strict`: with the stricter checks for a reload (ops.retune.check);
+    `in_force`: the shape of the file that it replaces. Raises ConfigError."""
     path = environ.get("GW_CONFIG")
     if not path:
         raise UnsetError("is not set", key="GW_CONFIG")
@@ -96,7 +100,7 @@
         raise ConfigFileError(error, file=f"GW_CONFIG: {path}") from None
     try:
         if strict:
-            check(raw, text)
+            check(raw, text, in_force)
         return _config(raw, environ)
     except RetuneError as error:
         raise error.in_file(f"GW_CONFIG: {path}") from None
@@ -106,9 +110,10 @@
         raise ConfigValueError(f"{type(error).__name__}: {error}", file=f"GW_CONFIG: {path}") from None
 
 
-def reload(environ: Mapping[str, str] = os.environ) -> Config:
+def reload(in_force: Config, environ: Mapping[str, str] = os.environ) -> Config:
     """Reads the file again. Its discovery address replaces GW_DISCOVERY, which is from the start."""
-    return load({name: value for name, value in environ.items() if name != "GW_DISCOVERY"}, strict=True)
+    environ = {name: value for name, value in environ.items() if name != "GW_DISCOVERY"}
+    return load(environ, strict=True, in_force=in_force.shape)
 
 
 def with_policy(text: str, environ: Mapping[str, str] = os.environ) -> Config:
@@ -143,7 +148,7 @@
     """Replaces the settings in the content of a gateway's file (`raw`) by those of a policy (`text`)."""
     try:
         policy = json.loads(text)
-        check(policy, text)
+        check(policy, text, _shape_for_policy(raw))
         plans = [[g["Name"] for g in s["Grades"]] for s in (raw["settings"], policy["settings"])]
         if plans[0] != plans[1]:
             raise ConfigValueError(
@@ -159,6 +164,12 @@
         raise ConfigValueError(error, file="policy") from None
 
 
+def _shape_for_policy(raw: dict[str, Any]) -> Shape:
+    """The shape that a policy must have: the settings of the file, but for the gateway's own position."""
+    settings = {key: value for key, value in raw["settings"].items() if key != "Position"}
+    return shape_of({"settings": settings})
+
+
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     conf = raw["settings"]
     caps, limits = conf.get("Caps") or {}, raw.get("limits") or {}
@@ -199,4 +210,5 @@
         keepalive_us=int(caps.get("KeepaliveUs") or 15_000_000),
         client_sockets=int(sockets * CLIENT_SHARE),
         node_sockets=sockets - int(sockets * CLIENT_SHARE),
+        shape=shape_of(raw),
     )
--- a/stackrouter/ops/retune.py
+++ b/stackrouter/ops/retune.py
@@ -15,18 +15,24 @@
 from dataclasses import replace
 from typing import Any
 
-from rackseam.interface import RequestClass, Settings
+from rackseam.interface import Effect, RequestClass, Settings
 from stackrouter.errors import ManyClassesError, RetuneKeyError, RetuneValueError
+from stackrouter.ops.config_shape import Shape, differences
 
 BIND_DELAY_S = 1.2  # from the signal until clients send the new classes
 MAX_CLASSES = 256  # the table grows with the classes that files add; beyond this a file is rejected
 
 
-def check(raw: Any, text: str) -> None:
+def check(raw: Any, text: str, in_force: Shape | None = None) -> None:
     """Checks a changed file more strictly than the start does. Raises a RetuneError with the key and its
-    line."""
+    line.
+
+    `in_force`: the shape of the file in force, whose keys the new one must have; None: of unknown shape.
+    """
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise RetuneKeyError("key is missing or not an object", line=_line(text, "settings"), key="settings")
+    if in_force is not None:
+        _check_shape(raw, text, in_force)
     settings = raw["settings"]
     profiles = settings.get("Profiles")
     if not isinstance(profiles, list) or not profiles:
@@ -37,6 +43,11 @@
         for key in ("HardLimitUs", "AimUs"):
             if key in profile or key == "HardLimitUs":
                 _positive(profile.get(key), f"Profiles[{nth}].{key}", _line(text, key, nth))
+        for key in _required_of(profile):
+            if not isinstance(profile.get(key), str):
+                raise RetuneKeyError(
+                    "key is missing", line=_line(text, "Name", nth), key=f"Profiles[{nth}].{key}"
+                )
     caps = settings.get("Caps") or {}
     if "MaxAttempts" in caps:
         _positive(caps["MaxAttempts"], "Caps.MaxAttempts", _line(text, "MaxAttempts"))
@@ -69,6 +80,19 @@
     return replace(new, classes=tuple(classes)), bound, unknown
 
 
+def _required_of(profile: Mapping[str, Any]) -> tuple[str, ...]:
+    """The keys of a class that decide on repeats, which have no default that is safe."""
+    return ("Effect", "Group") if profile.get("Effect") == Effect.KEYED.value else ("Effect",)
+
+
+def _check_shape(raw: Any, text: str, in_force: Shape) -> None:
+    for lack in differences(in_force, raw):
+        line, key = _line(text, lack.section), lack.path.removeprefix("settings.")
+        if lack.missing:
+            raise RetuneKeyError("key is missing, which the file in force has", line=line, key=key)
+        raise RetuneValueError(f"must be {lack.kind.value}", line=line, key=key)
+
+
 def _positive(value: Any, key: str, line: int) -> None:
     if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
         raise RetuneValueError(f"must be a number over 0, not {value!r}", line=line, key=key)
--- a/tests/loopback_rig.py
+++ b/tests/loopback_rig.py
@@ -5,9 +5,11 @@
 import json
 import os
 import signal
+import struct
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 from collections import Counter
 from pathlib import Path
@@ -37,10 +39,11 @@
 
 class Node:
     """A storage node that answers each command after `work_s` with a value of `value_bytes`. `received`: the
-    ids of the requests that have come whole."""
+    ids of the requests that have come whole; `reset_once`: ids whose first run is answered by a reset."""
 
     def __init__(self, value_bytes: int, work_s: float) -> None:
         self.received: list[bytes] = []
+        self.reset_once: set[bytes] = set()
         self._work_s = work_s
         value = bytes(value_bytes)
         self._answer = b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
@@ -54,6 +57,10 @@
                 words = [stream.read(int(stream.readline()[1:]) + 2)[:-2] for _ in range(int(head[1:]))]
                 self.received.append(words[2])
                 gevent.sleep(self._work_s)
+                if words[2] in self.reset_once:
+                    self.reset_once.discard(words[2])
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    return
                 sock.sendall(self._answer)
         except OSError:
             pass
@@ -66,9 +73,10 @@
     """The real program before `NODES` nodes. `peak_mb`: its largest resident memory so far, in MB."""
 
     def __init__(self, test: unittest.TestCase, *, value_bytes: int = 2, work_s: float = WORK_S,
-                 memory_mb: int = 192, held: socket.socket | None = None) -> None:  # fmt: skip
+                 memory_mb: int = 192, held: socket.socket | None = None,
+                 writes: str = "keyed") -> None:  # fmt: skip
         """`value_bytes`, `work_s`: of the nodes; `held`: a listening socket that it inherits, as at an
-        upgrade."""
+        upgrade; `writes`: the effect of the writing class."""
         self.nodes = [Node(value_bytes, work_s) for _ in range(NODES)]
         entries = []
         for shard, node in enumerate(self.nodes):
@@ -83,7 +91,9 @@
         host, _, port = free_address().rpartition(":")
         self.address = (host, int(port)) if held is None else held.getsockname()
         self.admin = free_address()
-        settings = {**SETTINGS, "Caps": {**SETTINGS["Caps"], "MaxOpen": 33333}}
+        read_class, write_class = SETTINGS["Profiles"]
+        settings = {**SETTINGS, "Caps": {**SETTINGS["Caps"], "MaxOpen": 33333},
+                    "Profiles": [read_class, {**write_class, "Effect": writes}]}  # fmt: skip
         config = {"listen": f"{host}:{port}", "discovery": "{}:{}".format(*discovery.server_address),
                   "limits": {"memory_mb": memory_mb, "sockets": 1024}, "admin": self.admin,
                   "known": {"index": 1, "snapshot": True, "endpoints": entries},
@@ -99,13 +109,19 @@
             pass_fds=() if held is None else (held.fileno(),),
         )  # fmt: skip
         assert self.program.stderr is not None
-        for stop in (self.program.stderr.close, self.program.wait, self.program.kill):
+        for stop in (self.program.stderr.close, self._join, self.program.wait, self.program.kill):
             test.addCleanup(stop)
         assert "listening" in self.program.stderr.readline()
+        self._lines: list[str] = []
+        self._reader = threading.Thread(target=self._lines.extend, args=(self.program.stderr,), daemon=True)
+        self._reader.start()
         self.peak_mb = 0.0
         watcher = gevent.spawn(self._watch)
         test.addCleanup(watcher.kill)
 
+    def _join(self) -> None:
+        self._reader.join(PATIENCE_S)
+
     def _watch(self) -> None:
         while self.program.poll() is None:
             for line in Path(f"/proc/{self.program.pid}/status").read_text().splitlines():
@@ -123,7 +139,12 @@
         return sock
 
     def write_config(self, config: dict[str, Any]) -> None:
-        self._path.write_text(json.dumps(config))
+        self._path.write_text(self.encode(config))
+
+    @staticmethod
+    def encode(config: dict[str, Any]) -> str:
+        """The text of a configuration file."""
+        return json.dumps(config, indent=1)
 
     def reload(self, config: dict[str, Any]) -> None:
         """Replace the configuration and send SIGHUP."""
@@ -151,9 +172,31 @@
     def stop(self) -> dict[str, int]:
         """Stop it as at a planned restart; its counters."""
         self.program.send_signal(signal.SIGTERM)
-        assert self.program.stderr is not None
-        lines = self.program.stderr.read().splitlines()
-        return dict(json.loads(next(line for line in reversed(lines) if line.startswith("{"))))
+        self.wait()
+        self._reader.join(PATIENCE_S)
+        return self._last_counters()
+
+    def counters(self) -> dict[str, int]:
+        """The counters as they are now."""
+        before = self._printed()
+        self.program.send_signal(signal.SIGUSR1)
+        with gevent.Timeout(PATIENCE_S):
+            while self._printed() == before:
+                gevent.sleep(POLL_S)
+        return self._last_counters()
+
+    def _printed(self) -> int:
+        return sum(line.startswith("{") for line in self._lines)
+
+    def _last_counters(self) -> dict[str, int]:
+        line = next(line for line in reversed(self._lines) if line.startswith("{"))
+        return dict(json.loads(line))
+
+
+def read_line(sock: socket.socket) -> bytes:
+    """One line of an answer; empty at the end of the stream."""
+    with sock.makefile("rb") as stream:
+        return bytes(stream.readline())
 
 
 def read_answers(sock: socket.socket, answers: Counter[bytes], enough: int | None = None) -> None:
