Put each changed file's classes in force after its own delay

Cause: Gateway._retune killed the timer that binds class names and started it anew at each SIGHUP, so every further signal put off all files before it.

Ruled out: the merge of the classes (the table held the new class from the first file on).

Change: ops/class_names.py, pure, time an argument: each file waits for its own 1.2 s, in the order of the signals; names that only a later file has stay valid meanwhile. One timer follows the next one that is due.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -42,8 +42,9 @@
 from stackrouter.net.discovery import Discovery
 from stackrouter.net.listener import LINGER_S, Listener, Session
 from stackrouter.net.pool import Pool
+from stackrouter.ops.class_names import ClassNames
 from stackrouter.ops.drain import Drain
-from stackrouter.ops.retune import BIND_DELAY_S, merge
+from stackrouter.ops.retune import merge
 
 if TYPE_CHECKING:
     from stackrouter.edge.wiring import OptionalParts
@@ -132,7 +133,8 @@
         self._terminated = Event()
         self.admin = Admin(config.admin, self.answer) if config.admin else None
         self.extras: OptionalParts | None = None  # features that the operator's file turns on
-        self._bind_timer: gevent.Greenlet[..., None] | None = None  # binds class names after a SIGHUP
+        self._class_names = ClassNames(names.classes)
+        self._class_names_timer: gevent.Greenlet[..., None] | None = None  # for the next change of names
 
     def _apply_limits(self, config: Config) -> None:
         """Applies this process's part of the gateway's memory and sockets, which its processes share."""
@@ -185,7 +187,9 @@
             what = "settings of the file are ignored: a policy of the fleet is in force"
             log_error(logger, PolicyInForceError(what))
             return
-        self._retune(settings, bound, unknown)
+        self._retune(settings, unknown)
+        self._class_names.change(bound, time.monotonic())
+        self._start_class_names_timer()
         logger.info(
             "configuration reloaded: discovery at %s:%d, classes %s", *config.discovery, sorted(bound)
         )
@@ -197,28 +201,25 @@
         settings, bound, unknown = merge(self.engine.settings.classes, config.settings, config.classes,
                                          self.names.classes, config.writes_stated)  # fmt: skip
         self._apply_limits(config)
-        self._retune(settings, bound, unknown)
-        if self._bind_timer is not None:
-            self._bind_timer.kill(block=False)
-        self._bind_classes(bound)
-
-    def _retune(self, settings: Settings, bound: dict[str, int], unknown: set[int]) -> None:
-        """Applies new settings. Open requests keep their class's index; names of new classes are valid at
-        once, and every name gets its new rules BIND_DELAY_S later, when clients begin to use them."""
+        self._retune(settings, unknown)
+        self._class_names.replace(bound)
+
+    def _retune(self, settings: Settings, unknown: set[int]) -> None:
+        """Applies new settings, but for the names of classes. Open requests keep their class's index."""
         self.engine.retune(settings)
         self.names.settings = settings
         self.names.classes_without_write_flag |= unknown
-        self.names.classes.update(
-            {name: index for name, index in bound.items() if name not in self.names.classes}
-        )
-        if self._bind_timer is not None:
-            self._bind_timer.kill(block=False)
-        self._bind_timer = gevent.spawn_later(BIND_DELAY_S, self._bind_classes, bound)
-
-    def _bind_classes(self, bound: dict[str, int]) -> None:
-        self._bind_timer = None
-        self.names.classes.clear()
-        self.names.classes.update(bound)
+
+    def _start_class_names_timer(self) -> None:
+        """Starts the timer for the next change of class names, unless it runs."""
+        due_in = self._class_names.due_in(time.monotonic())
+        if due_in is not None and self._class_names_timer is None:
+            self._class_names_timer = gevent.spawn_later(due_in, self._advance_class_names)
+
+    def _advance_class_names(self) -> None:
+        self._class_names_timer = None
+        self._class_names.advance(time.monotonic())
+        self._start_class_names_timer()
 
     def terminate(self) -> None:
         """Starts the planned stop."""
--- a/stackrouter/ops/retune.py
+++ b/stackrouter/ops/retune.py
@@ -6,7 +6,7 @@
 requests keep their old rules. An invalid file (empty, truncated, a key missing, a deadline or attempts not
 over 0) leaves the old settings unchanged. Classes are therefore kept in one table that only grows: the index
 of an open request always refers to the rules under which it was taken, and a name is bound to its new index
-`BIND_DELAY_S` after the signal.
+some time after the signal (ops.class_names).
 """
 
 from __future__ import annotations
@@ -19,7 +19,6 @@
 from stackrouter.errors import ManyClassesError, RetuneKeyError, RetuneValueError
 from stackrouter.ops.config_shape import Shape, differences
 
-BIND_DELAY_S = 1.2  # from the signal until clients send the new classes
 MAX_CLASSES = 256  # the table grows with the classes that files add; beyond this a file is rejected
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -7,17 +7,21 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any
 
 import gevent
+from hypothesis import given
+from hypothesis import strategies as st
 
-from stackrouter.ops.retune import BIND_DELAY_S
+from stackrouter.ops.class_names import BIND_DELAY_S, ClassNames
 from tests.exchange import ROOT
 from tests.loopback_rig import PATIENCE_S, POLL_S, GatewayProcess, command, read_line
 
 SETTLE_S = 0.3  # from the time at which new rules are in force to the first request that must meet them
+ROUNDING_S = 1e-6
 
 
 def with_effect(config: dict[str, Any], effect: str | None) -> dict[str, Any]:
@@ -64,6 +68,19 @@
         self.assertEqual([self.runs_of_a_lost_write(gateway, number) for number in range(2, 8)], [1] * 6)
         self.assertEqual(gateway.counters()["reloads.failed"], 1)
 
+    def test_files_in_quick_succession_do_not_put_off_the_first_one(self) -> None:
+        """Guards against writes that run twice for as long as further signals come."""
+        gateway = GatewayProcess(self, writes="keyed")
+        self.assertEqual(self.runs_of_a_lost_write(gateway, 1), 2)  # a keyed write may be sent again
+        began = time.monotonic()
+        unsafe = with_effect(gateway.config, "unsafe")
+        for number in range(2, 8):
+            self.reload(gateway, unsafe)
+            gevent.sleep(0.4)
+            if time.monotonic() > began + BIND_DELAY_S + SETTLE_S:
+                self.assertEqual(self.runs_of_a_lost_write(gateway, number), 1)
+        self.assertGreater(time.monotonic(), began + BIND_DELAY_S + SETTLE_S)
+
     def test_a_start_without_a_class_s_effect_is_refused(self) -> None:
         """Guards against the same default at the start: one line that names the key, exit code 2."""
         whole = GatewayProcess(self, writes="unsafe").config
@@ -79,3 +96,51 @@
         self.assertEqual(len(done.stderr.splitlines()), 1)
         self.assertIn("SR-CONFIG-KEY", done.stderr)
         self.assertIn("Effect", done.stderr)
+
+
+class Model:
+    """The names in force by the operators' page alone: those of the last file whose delay is over, and names
+    that are only in later files."""
+
+    def __init__(self, names: dict[str, int]) -> None:
+        self.files: list[tuple[float, dict[str, int]]] = [(0.0, names)]
+
+    def at(self, now: float) -> dict[str, int]:
+        due = [names for at, names in self.files if at <= now][-1]
+        later = [names for at, names in self.files if at > now]
+        expected = dict(due)
+        for names in later:
+            expected = {**names, **expected}
+        return expected
+
+
+class ClassNamesTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 2.0), st.dictionaries(st.sampled_from("abc"), st.integers(0, 9), min_size=1)
+            ),
+            max_size=12,
+        )
+    )
+    def test_each_file_comes_into_force_after_its_delay_whatever_follows(
+        self, files: list[tuple[float, dict[str, int]]]
+    ) -> None:
+        names, model, now = ClassNames({"a": 0}), Model({"a": 0}), 1.0
+        for pause, file in files:
+            names.advance(now)
+            names.change(file, now)
+            model.files.append((now + BIND_DELAY_S, file))
+            self.assertEqual(names.current, model.at(now))
+            now += pause
+            names.advance(now)
+            self.assertEqual(names.current, model.at(now))
+            due_in = names.due_in(now)
+            self.assertTrue(due_in is None or 0.0 <= due_in < BIND_DELAY_S + ROUNDING_S)
+
+    def test_a_policy_replaces_all_changes_that_wait(self) -> None:
+        names = ClassNames({"a": 0})
+        names.change({"a": 1, "b": 2}, 1.0)
+        names.replace({"a": 3})
+        names.advance(10.0)
+        self.assertEqual((names.current, names.due_in(10.0)), ({"a": 3}, None))
