Split the listener: sessions and client connections have modules of their own

No statement differs. tests/test_gate.py looks for the gate's call in the module where the call now is; the check is the same.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -40,8 +40,9 @@
 from stackrouter.membership.listing import Listing
 from stackrouter.net.admin import Admin
 from stackrouter.net.discovery import Discovery
-from stackrouter.net.listener import LINGER_S, Listener, Session
+from stackrouter.net.listener import LINGER_S, Listener
 from stackrouter.net.pool import Pool
+from stackrouter.net.session import Session
 from stackrouter.ops.class_names import ClassNames
 from stackrouter.ops.drain import Drain
 from stackrouter.ops.retune import merge
--- a/stackrouter/core/gate.py
+++ b/stackrouter/core/gate.py
@@ -2,8 +2,9 @@
 
 It is consulted immediately before each system call, and again after every wait: for a connect, for an answer
 to settle, for room in a full send buffer. The methods return None if the operation is allowed, else a
-`Denial` with the reason. No I/O; the time is an argument. net.node_socket writes to nodes and net.listener
-closes clients only if the gate allows it (tests/test_gate.py checks the imports and the calls).
+`Denial` with the reason. No I/O; the time is an argument. net.node_socket writes to nodes and
+net.client_connection closes clients only if the gate allows it (tests/test_gate.py checks the imports and
+the calls).
 
 docs/design/send-gate.md gives the reason for each rule.
 """
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -25,7 +25,7 @@
 from stackrouter.errors import ClientCommandError, log_error
 from stackrouter.fronts.platform import resp
 from stackrouter.fronts.platform.node import Command
-from stackrouter.net.listener import INBOX_BYTES, ClientTimeouts, MalformedError
+from stackrouter.net.session import INBOX_BYTES, ClientTimeouts, MalformedError
 from stackrouter.ops.drain import Drain
 
 WIRE = "platform"
@@ -164,7 +164,7 @@
 
 
 class PlatformSession:
-    """The platform's session of one client connection (see `net.listener.Session`)."""
+    """The platform's session of one client connection (see `net.session.Session`)."""
 
     def __init__(
         self, engine: Engine, names: RequestContext, counters: Counters, wake: Callable[[], None]
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -20,7 +20,7 @@
 from stackrouter.fronts.sftp.keys import ATTRIBUTES, EXISTENCE, WHOLE, Extent, Keys, overlap
 from stackrouter.fronts.sftp.node import Operation
 from stackrouter.fronts.sftp.packets import Fields, Flag, Packet, Status, Type, string, u32, u64
-from stackrouter.net.listener import ClientTimeouts, MalformedError
+from stackrouter.net.session import ClientTimeouts, MalformedError
 
 WIRE = "sftp"
 # Closing a connection loses the session's handles, and people pause between commands.
@@ -99,7 +99,7 @@
 
 
 class SftpSession:
-    """The SFTP session of one client connection (see `net.listener.Session`)."""
+    """The SFTP session of one client connection (see `net.session.Session`)."""
 
     def __init__(self, shared: SftpContext, wake: Callable[[], None]) -> None:
         self._shared, self._wake = shared, wake
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -18,7 +18,9 @@
 from stackrouter.core.gate import ClientState, Denial
 from stackrouter.core.model import Inbox, assume_connected, take_pipelined
 from stackrouter.net import listener as listening
-from stackrouter.net.listener import ClientTimeouts, Connection, Listener, MalformedError
+from stackrouter.net.client_connection import NEW_CONNECTION_GRACE_S, Connection
+from stackrouter.net.listener import Listener
+from stackrouter.net.session import INBOX_BYTES, ClientTimeouts, MalformedError
 from stackrouter.ops.drain import Drain
 from tests.races import PATIENCE_S, REPETITIONS, wait_until
 
@@ -271,7 +273,7 @@
 
     def test_oversized_command_ends_the_connection_after_earlier_answers(self) -> None:
         listener = self.listener()
-        sock = self.client(listener, b"a\n" + b"z" * (listening.INBOX_BYTES + 10))
+        sock = self.client(listener, b"a\n" + b"z" * (INBOX_BYTES + 10))
         got = b""
         while chunk := sock.recv(100):
             got += chunk
@@ -372,7 +374,7 @@
         listener = self.listener(max_clients=20)
         for _ in range(60):
             self.client(listener)
-        gevent.sleep(listening.NEW_CONNECTION_GRACE_S)
+        gevent.sleep(NEW_CONNECTION_GRACE_S)
         began = time.monotonic()
         sock = self.client(listener, b"a\n")
         self.assertEqual(sock.recv(100), b"a\n")
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -78,8 +78,8 @@
         text = "from gevent import socket\nimport socket\nx.sendall(b'')\nconnection._sock.close()"
         self.assertEqual(len(list(bypasses("net/pool.py", ast.parse(text)))), 4)
 
-    def test_node_socket_and_listener_ask_the_gate(self) -> None:
-        for name, method in (("net/node_socket.py", "may_write"), ("net/listener.py", "may_close")):
+    def test_node_socket_and_client_connection_ask_the_gate(self) -> None:
+        for name, method in (("net/node_socket.py", "may_write"), ("net/client_connection.py", "may_close")):
             self.assertIn(f".{method}(", (ROOT / name).read_text(encoding="utf-8"))
 
 
