Let others have their turn while a client sends at full speed

Cause: a reader never waits while its socket has bytes, so 60 of them held the loop for a second and more; nodes' answers were read that late, and the decision module took the nodes for too slow to try.

Ruled out: leases or queue places that are not returned (no refusal for memory after the flood).

Change: a reader yields after 64 KiB. Open: how the decision module comes back from nodes that it took for slow without trying them (rackseam/control.py).

--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -29,6 +29,7 @@
 log = logging.getLogger(__name__)
 
 OUTBOX_BYTES = 4 * 1024  # collects short answers; what is longer is written without a copy
+READ_BYTES_PER_TURN = 64 * 1024  # then all others have their turn, however much the client has sent
 MAX_MEMORY_WAIT_S = 0.5  # how long a client with a large request waits for memory to read it
 WRITE_STALL_S = 10.0  # how long an answer may make no progress because the client does not read
 LINGER_BYTES = 512 * 1024  # discarded at most after sending has been shut down
@@ -51,7 +52,7 @@
         self.active_at = self.request_since = time.monotonic()
         self.ending = self.closed = self._partial = self._requested = self._input_paused = False
         self.lingering_since: float | None = None  # when sending was shut down; no requests are taken after
-        self._discarded = 0
+        self._discarded = self._read_in_turn = 0
         self._wake, self._output_progress = Event(), Event()
         # Weak, so that a closed connection is freed at once and not only by the cyclic garbage collector.
         self_ref = weakref.ref(self)
@@ -192,7 +193,7 @@
                 if not self._extend_inbox():
                     return
                 continue
-            elif not self._sock.read(self.inbox):
+            elif not self._read_some():
                 return
             if self.lingering_since is not None:
                 return self._discard()
@@ -212,6 +213,19 @@
             self._requested = self._requested or taken
             self._partial = len(self.inbox) > 0
 
+    def _read_some(self) -> int:
+        """Read once into the inbox; return the byte count, 0 if the client ended sending.
+
+        A read that need not wait lets no other greenlet run, so it yields after `READ_BYTES_PER_TURN`: else
+        a client that sends at full speed holds up the nodes' answers to all others.
+        """
+        if self._read_in_turn >= READ_BYTES_PER_TURN:
+            self._read_in_turn = 0
+            gevent.sleep(0)
+        count = self._sock.read(self.inbox)
+        self._read_in_turn += count
+        return count
+
     def _extend_inbox(self) -> bool:
         """Extend the inbox for a request that it cannot hold.
 
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import select
 import time
@@ -18,7 +19,7 @@
 from stackrouter.core.gate import ClientState, Denial
 from stackrouter.core.model import Inbox, assume_connected, take_pipelined
 from stackrouter.net import listener as listening
-from stackrouter.net.client_connection import NEW_CONNECTION_GRACE_S, Connection
+from stackrouter.net.client_connection import NEW_CONNECTION_GRACE_S, READ_BYTES_PER_TURN, Connection
 from stackrouter.net.listener import Listener
 from stackrouter.net.session import INBOX_BYTES, ClientTimeouts, MalformedError
 from stackrouter.ops.drain import Drain
@@ -282,6 +283,22 @@
 
     # --- a stop
 
+    def test_a_client_that_sends_at_full_speed_does_not_hold_up_others(self) -> None:
+        """Guards against a reader that goes on as long as its client sends: nodes' answers came late, and
+        the decision module took the nodes for slow."""
+        listener = self.listener(pipelined=1 << 30)
+        greedy, usual = self.client(listener), self.client(listener)
+        wait_until(lambda: len(self.sessions) == 2, "connected")
+        greedy.setblocking(False)
+        sent, lines = 0, b"a\n" * 8192
+        with contextlib.suppress(BlockingIOError):
+            while sent < 8 * READ_BYTES_PER_TURN:
+                sent += greedy.send(lines)
+        self.assertGreater(sent, 4 * READ_BYTES_PER_TURN)
+        usual.sendall(b"b\n")
+        wait_until(lambda: bool(self.sessions[1].taken), "the other client's request")
+        self.assertLess(len(self.sessions[0].taken) * len(b"a\n"), sent // 2)
+
     def test_stop_is_not_done_before_requests_behind_a_full_pipeline_are_answered(self) -> None:
         """Guards against counting a connection as idle when its first requests are answered but the rest is
         still in the ring buffer."""
