Write long answers as they are, not through the small outbox

Found by reading the change again. Evidence: 25 writes for an answer of 100,000 bytes. Change: what is longer than the outbox stays out of it once it is empty. Test: test_a_long_answer_is_written_in_few_pieces, failed before (25 writes), passes after (2 at most).

--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -306,10 +306,15 @@
             self._wake.wait()
 
     def _fill_outbox(self) -> None:
-        """Collect answers in the outbox, so that short ones are written together."""
+        """Collect answers in the outbox, so that short ones are written together.
+
+        What is longer than the outbox stays in `_unsent` once the outbox is empty, to be written as it is.
+        """
         while self._unsent or (unsent := memoryview(self.session.output())):
             if not self._unsent:
                 self._unsent = unsent
+            if len(self._unsent) > OUTBOX_BYTES and not len(self.outbox):
+                return
             self._unsent = self._unsent[self.outbox.put(self._unsent) :]
             if not self.outbox.room:
                 return
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -21,6 +21,7 @@
 from stackrouter.net import client_connection
 from stackrouter.net import listener as listening
 from stackrouter.net.client_connection import NEW_CONNECTION_GRACE_S, READ_BYTES_PER_TURN, Connection
+from stackrouter.net.client_socket import ClientSocket
 from stackrouter.net.listener import Listener
 from stackrouter.net.ring import INITIAL_BYTES
 from stackrouter.net.session import INBOX_BYTES, ClientTimeouts, MalformedError
@@ -285,6 +286,17 @@
 
     # --- a stop
 
+    def test_a_long_answer_is_written_in_few_pieces(self) -> None:
+        """Guards against long answers that pass through the small outbox, 4 KiB a system call."""
+        listener, line = self.listener(), b"a" * 100_000 + b"\n"
+        with mock.patch.object(ClientSocket, "write", autospec=True, side_effect=ClientSocket.write) as write:
+            client = self.client(listener, line)
+            received = b""
+            while len(received) < len(line):
+                received += client.recv(1 << 20)
+        self.assertEqual(received, line)
+        self.assertLessEqual(write.call_count, 2)
+
     def test_a_client_that_sends_at_full_speed_does_not_hold_up_others(self) -> None:
         """Guards against a reader that goes on as long as its client sends: nodes' answers came late, and
         the decision module took the nodes for slow."""
