Review cases 8 and 10: margins that hold on slower machines too

Cause or need: the scripts must not depend on the kind of machine; case 10 had 50 ms to spare, and in case 8 a client's receive buffer that grows without bound could have taken what is cut off. Change: the last byte of case 10 comes 0.74 s after SIGTERM, the client of case 8 has a receive buffer of 256 KiB.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,7 @@
 """A planned restart while a client that writes slowly is in the middle of its request.
 
-The client has connected and begun its request before SIGTERM; its last byte is written 0.6 s after SIGTERM, to
-a connection that the gateway's machine has accepted, over three seconds before the earliest SIGKILL.
+The client has connected and begun its request before SIGTERM; its last byte is written about 0.7 s after SIGTERM, to
+a connection that the gateway's machine has accepted, three seconds before the earliest SIGKILL.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from lib2.rig import TROUBLE, Agent, Command, Node, Platform, Record, answer_of, play, read_answer, request, settings
 
 ROUNDS = 5
-WRITE_S = 1.2  # for the whole request: "a client may take 2 s over a head"
+WRITE_S = 1.35  # for the whole request: "a client may take 2 s over a head"
 SIGTERM_AFTER_S = 0.6  # from the first byte
 PIECES = 12
 KILL_AFTER_S = 3.7  # the longest deadline, 3 s, and 0.7 s more
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,6 +16,7 @@
 ROUNDS = 4
 LONG_BYTES = 4 << 20  # "values reach 4 MiB"
 READS_BYTES_S, READ_AT_ONCE = 2_000_000, 20_000  # the whole value takes the client 2.1 s
+RECEIVE_BUFFER_BYTES = 256 * 1024  # of the client's socket
 SENDS_EVERY_S, SHORT = 0.2, 9  # short reads, behind the long one
 STANDBY_AFTER_S = 0.5  # from the long read
 PATIENCE_S = 6.0
@@ -52,6 +53,7 @@
     loop = asyncio.get_running_loop()
     sock = socket.socket()
     sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     await loop.sock_connect(sock, ("127.0.0.1", platform.port))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sent: list[str] = []
