Review rig: end all processes at SIGTERM, choose a taken port anew

Cause or need: a case has to end what it started, also when it is stopped, and a free port may be taken meanwhile. Change: review/lib2/rig.py.

--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -306,14 +306,24 @@
             "settings": conf,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         }
-        if not hasattr(self, "config"):
-            raise CannotRun("no place for the configuration")
+        self._conf = conf
         temporary = self.config.with_suffix(".new")
         temporary.write_text(json.dumps(told), encoding="utf-8")
         temporary.replace(self.config)
 
-    async def start(self, ready_s: float = 20.0) -> asyncio.subprocess.Process:
-        """Start `run` of the deploy file; returns once the new process answers `status` with SUCCESS."""
+    async def start(self) -> asyncio.subprocess.Process:
+        """Start `run` of the deploy file; returns once the new process answers `status` with SUCCESS. A port
+        that another program has taken meanwhile is chosen anew."""
+        for _ in range(3):
+            process = await self._start_once(20.0)
+            if process is not None:
+                return process
+            if self.listener is None:
+                self.port = free_port()
+                self.write_config(self._conf)
+        raise CannotRun(f"the gateway did not become ready: {self.logs()[-400:]}")
+
+    async def _start_once(self, ready_s: float) -> asyncio.subprocess.Process | None:
         admin = free_port()
         environ = {key: value for key, value in os.environ.items() if not key.startswith("GW_")}
         environ |= {
@@ -345,7 +355,9 @@
                 self.record.add(f"process {process.pid} is ready")
                 return process
             await asyncio.sleep(0.05)
-        raise CannotRun(f"the gateway did not become ready: {self.logs()[-400:]}")
+        if process.returncode is None:
+            raise CannotRun(f"the gateway did not become ready: {self.logs()[-400:]}")
+        return None
 
     async def _wait_for_pong(self, until: float) -> None:
         while time.monotonic() < until:
@@ -403,9 +415,16 @@
     """Play the case and exit: 1 if it returns breaks of the rule, 0 if it returns none, 2 if it can't run."""
     record = Record(folder)
     sys.unraisablehook = lambda _: None  # connections that are open when the loop ends
+
+    async def main() -> list[str]:
+        task = asyncio.ensure_future(asyncio.wait_for(case(record), limit_s))
+        for number in (signal.SIGTERM, signal.SIGINT):  # the case ends its processes then, too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await task
+
     try:
-        breaks = asyncio.run(asyncio.wait_for(case(record), limit_s))
-    except (CannotRun, TimeoutError, asyncio.TimeoutError, OSError) as error:
+        breaks = asyncio.run(main())
+    except (CannotRun, TimeoutError, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         record.add(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         status = COULD_NOT_RUN
