A planned stop waits for requests that are half read, and refuses them at its exit

Cause: Connection.quiescent (net/client_connection.py) did not count bytes of a request in the inbox, so Listener.idle was true and Listener.leave ended the connection with end(planned=False). Gateway.serve also left 0.5 s after the first idle moment, whatever had been taken since. Ruled out: the time limits of requests (2.2 s of silence, 10 s in all), neither of which was over. Change: quiescent counts a half-read request; leave closes in the planned way until nothing is taken any more, then refuses what is half read and ends; one loop bounded by the gate's time in place of two.

--- a/stackrouter/__main__.py
+++ b/stackrouter/__main__.py
@@ -40,7 +40,7 @@
 from stackrouter.membership.listing import Listing
 from stackrouter.net.admin import Admin
 from stackrouter.net.discovery import Discovery
-from stackrouter.net.listener import LINGER_S, Listener
+from stackrouter.net.listener import Listener
 from stackrouter.net.pool import Pool
 from stackrouter.net.session import Session
 from stackrouter.ops.class_names import ClassNames
@@ -274,22 +274,22 @@
         gevent.sleep(STOP_DELAY_S)
         for listener in self.listeners:
             listener.stop()
-        # Bounded: a client that never reads its answer must not delay the exit until the platform kills it.
+        self._finish_connections()
+
+    def _finish_connections(self) -> None:
+        """Returns once every client has its answers and its end, or when the process has to exit.
+
+        Bounded by the gate: a client that never completes its request or never reads its answer must not
+        delay the exit until the platform kills the process.
+        """
         gate = self.engine.gate
-        while not gate.takes_no_more(clock_us()) and not self._idle():
-            gevent.sleep(FINISH_STEP_S)
-        # The last answers may be in transit: exiting with unread bytes of clients resets their connections.
-        linger_until_us = clock_us() + int(LINGER_S * 1e6)
-        while clock_us() < linger_until_us and not gate.must_exit(clock_us()):
-            also_unread = gate.takes_no_more(clock_us())
-            if not any([listener.leave(also_unread) for listener in self.listeners]):
+        while not gate.must_exit(clock_us()):
+            at_exit = gate.takes_no_more(clock_us())
+            clients_left = [listener.leave(at_exit) for listener in self.listeners]
+            if self.engine.idle() and not any(clients_left):
                 return
             gevent.sleep(FINISH_STEP_S)
 
-    def _idle(self) -> bool:
-        """Whether no request is open, and nothing that may be one is unread."""
-        return self.engine.idle() and all(listener.idle() for listener in self.listeners)
-
 
 def open_shared_limits(
     config: Config, counters: Counters
--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import time
 import weakref
@@ -31,6 +32,7 @@
 OUTBOX_BYTES = 4 * 1024  # collects short answers; what is longer is written without a copy
 READ_BYTES_PER_TURN = 64 * 1024  # then all others have their turn, however much the client has sent
 MAX_MEMORY_WAIT_S = 0.5  # how long a client with a large request waits for memory to read it
+MAX_EXIT_WRITE_S = 0.01  # for the refusal of a request that is half read when the process exits
 WRITE_STALL_S = 10.0  # how long an answer may make no progress because the client does not read
 MAX_REQUEST_PAUSE_S = 0.6  # within a request, after which its client counts as stopped
 MAX_REQUEST_S = 10.0  # for a whole request, however slowly it comes
@@ -85,8 +87,8 @@
         return self.settled() and not len(self.inbox)
 
     def quiescent(self) -> bool:
-        """No answer is owed, and the socket holds nothing that may be a request."""
-        return self.settled() and not self._sock.readable()
+        """No answer is owed, no request is half read, and the socket holds nothing that may be one."""
+        return self.idle() and not self._sock.readable()
 
     def stalled(self, now: float) -> bool:
         """Whether a limit is exceeded: for clients that never send or finish a request or read an answer."""
@@ -148,6 +150,20 @@
         if not self.ending:
             self.end()
 
+    def end_at_exit(self) -> None:
+        """The process is about to exit: end the connection unless an answer is owed, also within a request.
+
+        Its client may complete such a request before it sees the end, so it is refused.
+        """
+        if not self.settled():
+            return
+        if not self.quiescent() and not self.ending:
+            self.listener.counters.add("clients.refused_at_exit")
+            self.ending = True
+            with contextlib.suppress(OSError), gevent.Timeout(MAX_EXIT_WRITE_S, TimeoutError()):
+                self._sock.write_all(self.listener.busy)
+        self.end(planned=False)
+
     def end(self, planned: bool = True) -> None:
         """End the connection with a lingering close, if the gate allows it.
 
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -97,15 +97,17 @@
             self.counters.add("clients.drained")
             connection.end()
 
-    def leave(self, also_unread: bool = False) -> bool:
-        """At the exit: end connections on which no answer is owed, partial requests or not.
+    def leave(self, at_exit: bool = False) -> bool:
+        """At a stop: end connections on which nothing is owed and no request is on its way.
 
-        `also_unread`: also those with bytes to read, since nothing is taken any more. Returns whether any
-        connection is still open.
+        `at_exit`: also those on which a request is on its way, since none is taken any more. Returns whether
+        any connection is still open.
         """
         for connection in list(self.connections):
-            if connection.settled() if also_unread else connection.quiescent():
-                connection.end(planned=False)
+            if at_exit:
+                connection.end_at_exit()
+            elif connection.quiescent():
+                connection.end()
         return bool(self.lingering or self.connections)
 
     def refuses_pipelined(self) -> bool:
@@ -114,7 +116,7 @@
         return any(refuses_pipelined(now, since) for since in (self.stopping_since, self.drain.since))
 
     def idle(self) -> bool:
-        """Whether all requests taken are answered and nothing is unread; partial requests do not count."""
+        """Whether all requests taken are answered, and none is half read or unread."""
         return all(connection.quiescent() for connection in self.connections)
 
     def linger(self, connection: Connection) -> None:
