An empty part of an answer is no longer taken for the end of the output

Cause: Connection._fill_outbox (net/client_connection.py) took an empty part for "none now". With `$0\r\n` as the last bytes of a full outbox (4,096 bytes) the writer then had nothing to write and slept, with `\r\n` and later answers still to come. Ruled out: a lost wake-up (the writer asked and was told "none"), the node's answer, the client. Change: Session.output returns None where there is nothing now; empty parts are passed over; AnswerStream ignores empty pieces. Tests: test_an_empty_value_among_answers_that_are_ready_at_once fails on the code before (nothing for 3.5 s), test_an_empty_part_of_an_answer_does_not_hold_back_what_follows.

--- a/stackrouter/core/answer_stream.py
+++ b/stackrouter/core/answer_stream.py
@@ -52,7 +52,8 @@
 
     def put(self, data: bytes) -> None:
         """Append bytes of the value, `room` at most."""
-        self._pieces.append(data)
+        if data:  # an empty piece would look like the end of what has come
+            self._pieces.append(data)
         self._buffered += len(data)
         self.on_change()
 
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -269,7 +269,7 @@
         if self._slots and self._slots[0] is slot:
             self._wake()
 
-    def _stream_output(self, stream: AnswerStream) -> bytes:
+    def _stream_output(self, stream: AnswerStream) -> bytes | None:
         """The next bytes of the first slot's value, which may still be arriving."""
         if not self._stream_begun:
             if stream.state is StreamState.BROKEN:  # before the client had anything of it
@@ -281,18 +281,18 @@
             return part
         self.answer_broken = stream.state is StreamState.BROKEN
         if stream.state is not StreamState.COMPLETE:
-            return b""
+            return None
         self._slots.popleft().release()
         self._stream_begun = False
         return b"\r\n"
 
-    def output(self) -> bytes:
+    def output(self) -> bytes | None:
         slot = self._slots[0] if self._slots else None
         if slot is not None and slot.stream is not None:
             return self._stream_output(slot.stream)
         parts = slot.parts if slot is not None else None
         if parts is None:
-            return b""
+            return None
         part = parts.pop(0)
         if not parts:
             self._slots.popleft()
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -74,9 +74,6 @@
     lease: object = None
 
 
-NO_ANSWER = _Answer(b"")
-
-
 class RequestError(Exception):
     """The request is answered with a STATUS packet; the connection stays open."""
 
@@ -108,7 +105,7 @@
         self.min_inbox_bytes = 0  # packets are bounded: no larger inbox is needed
         self.answer_broken = False  # data is answered in whole packets
         self._ready: deque[_Answer] = deque()
-        self._written = NO_ANSWER  # the packet that the connection is writing
+        self._written: _Answer | None = None  # the packet that the connection is writing
         self._jobs: list[Job] = []
         self._handles: dict[bytes, Handle] = {}
         self._last_handle = 0
@@ -127,9 +124,9 @@
                 raise MalformedError from None
             self._wake()
 
-    def output(self) -> bytes:
-        self._written = self._ready.popleft() if self._ready else NO_ANSWER
-        return self._written.data
+    def output(self) -> bytes | None:
+        self._written = self._ready.popleft() if self._ready else None
+        return None if self._written is None else self._written.data
 
     def pending(self) -> int:
         return len(self._jobs) + len(self._ready)
--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -358,15 +358,21 @@
 
         What is longer than the outbox stays in `_unsent` once the outbox is empty, to be written as it is.
         """
-        while self._unsent or (unsent := memoryview(self.session.output())):
-            if not self._unsent:
-                self._unsent = unsent
+        while self._unsent or self._take_output():
             if len(self._unsent) > OUTBOX_BYTES and not len(self.outbox):
                 return
             self._unsent = self._unsent[self.outbox.put(self._unsent) :]
             if not self.outbox.room:
                 return
 
+    def _take_output(self) -> bool:
+        """Take the session's next part that is not empty; False: there is none now."""
+        while (part := self.session.output()) is not None:
+            if part:
+                self._unsent = memoryview(part)
+                return True
+        return False
+
     def _write_some(self) -> None:
         """Write once: from the outbox, or what is longer than the outbox as it is."""
         if len(self._unsent) > OUTBOX_BYTES and not len(self.outbox):
--- a/stackrouter/net/session.py
+++ b/stackrouter/net/session.py
@@ -48,8 +48,8 @@
     def received(self, inbox: Inbox) -> None:
         """Take complete requests out of the inbox. MalformedError: the stream cannot be parsed."""
 
-    def output(self) -> bytes:
-        """The next bytes for the client; empty if there are none now."""
+    def output(self) -> bytes | None:
+        """The next part of the answers, which may be empty; None: there is none now."""
 
     def pending(self) -> int:
         """The number of requests taken whose answers `output` has not returned yet."""
--- a/tests/test_attempt_progress.py
+++ b/tests/test_attempt_progress.py
@@ -115,7 +115,7 @@
         return stream
 
     def output(self) -> bytes:
-        return b"".join(iter(self.session.output, b""))
+        return b"".join(iter(self.session.output, None))
 
     def test_the_memory_of_a_value_is_free_once_it_is_passed_on(self) -> None:
         """Guards against leases that wait for the garbage collector."""
--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -11,11 +11,14 @@
 import gevent
 from gevent import socket
 
+from stackrouter.net.client_connection import OUTBOX_BYTES
 from stackrouter.ops.drain import PIPELINED_GRACE_S, refuses_pipelined
 from tests.loopback_rig import PATIENCE_S, GatewayProcess, command
+from tests.shaped_nodes import Shape, ShapedNode, Value, read_values
 
 BATCH, EVERY_S = 3, 0.03
 WORK_S = 0.05  # of a node: longer than the pause between batches, so that an answer is always owed
+ANSWERED_WITHIN_S = 3.5  # the longest wait of a client, 3 s, and half a second
 DRAINED_WITHIN_S = 4.0  # as the operators' page says
 
 
@@ -114,6 +117,21 @@
         self.assertEqual(gateway.wait(), 0)
 
 
+class PipelinedAnswers(unittest.TestCase):
+    def test_an_empty_value_among_answers_that_are_ready_at_once(self) -> None:
+        """Guards against an empty value whose head just fills the outbox: its client waited for ever."""
+        read_bytes, reads = (OUTBOX_BYTES - len(b"$0\r\n")) // 4 - len(b"$1014\r\n\r\n"), 4
+        values = [Value(read_bytes, Shape.LATE_BODY, 0.2)] + [Value(read_bytes, Shape.BIG)] * (reads - 1)
+        values += [Value(0, Shape.BIG), Value(read_bytes, Shape.BIG)]
+        gateway = GatewayProcess(self, new_node=lambda: ShapedNode(lambda each: values[int(each, 16)]))
+        with gateway.connect() as sock:
+            sock.settimeout(ANSWERED_WITHIN_S)
+            sock.sendall(b"".join(command(b"BLK.READ", number) for number in range(len(values))))
+            request_ids = [b"%016x" % number for number in range(len(values))]
+            answers = read_values(sock, request_ids, time.monotonic())
+        self.assertEqual([answer.intact for answer in answers], [True] * len(values), answers)
+
+
 class RefusalTest(unittest.TestCase):
     def test_pipelined_requests_are_refused_after_the_grace_only(self) -> None:
         self.assertFalse(refuses_pipelined(10.0, None))
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -20,7 +20,12 @@
 from stackrouter.core.model import Inbox, assume_connected, take_pipelined
 from stackrouter.net import client_connection
 from stackrouter.net import listener as listening
-from stackrouter.net.client_connection import NEW_CONNECTION_GRACE_S, READ_BYTES_PER_TURN, Connection
+from stackrouter.net.client_connection import (
+    NEW_CONNECTION_GRACE_S,
+    OUTBOX_BYTES,
+    READ_BYTES_PER_TURN,
+    Connection,
+)
 from stackrouter.net.client_socket import ClientSocket
 from stackrouter.net.listener import Listener
 from stackrouter.net.ring import INITIAL_BYTES
@@ -56,8 +61,8 @@
         self.slots = [slot or b"x\n" for slot in self.slots]
         self.wake()
 
-    def output(self) -> bytes:
-        return (self.slots.pop(0) or b"") if self.slots and self.slots[0] is not None else b""
+    def output(self) -> bytes | None:
+        return self.slots.pop(0) if self.slots and self.slots[0] is not None else None
 
     def pending(self) -> int:
         return len(self.slots)
@@ -300,6 +305,21 @@
         self.assertEqual(received, line)
         self.assertLessEqual(write.call_count, 2)
 
+    def test_an_empty_part_of_an_answer_does_not_hold_back_what_follows(self) -> None:
+        """Guards against an empty part, behind an outbox that was just filled, taken for the end of the
+        output: the rest waited for an event that never came."""
+        for length in (0, 1, OUTBOX_BYTES - 1, OUTBOX_BYTES, OUTBOX_BYTES + 1, 2 * OUTBOX_BYTES):
+            with self.subTest(length):
+                self.sessions.clear()
+                client = self.client(self.listener(), b"x\n")
+                wait_until(lambda: bool(self.sessions and self.sessions[0].slots), "taken")
+                self.sessions[0].slots = [b"a" * length, b"", b"", b"end\n"]
+                self.sessions[0].wake()
+                received = b""
+                while not received.endswith(b"end\n"):
+                    received += client.recv(1 << 20)
+                self.assertEqual(received, b"a" * length + b"end\n")
+
     def test_a_client_that_reads_a_long_answer_slowly_is_not_cut_off(self) -> None:
         """Guards against a client taken for stalled while it reads what the system has buffered for it."""
         client = self.slow_client(self.listener(), 16 << 20)  # more than the system buffers
