A planned close no longer cuts off answers that the system still holds

Cause: an answer counted as written once the system had taken it (Connection.settled, drained, finish, net/client_connection.py); Listener._sweep closed the connection 0.5 s after its end, sent or not, and the client's next command met a closed socket, whose reset discards what is unsent. Ruled out: the node (had given all), a stalled client (reads all the time), the memory accounts. Change: unsent bytes are owed before a planned close (Denial.ANSWER_UNSENT) and commands meanwhile are behind an owed answer; a lingering connection is closed 0.5 s after the client's system has everything, or after 10 s without progress; past 512 KiB of discarded bytes it is not read, not closed; for room those are closed first whose clients have all answers.

--- a/stackrouter/core/gate.py
+++ b/stackrouter/core/gate.py
@@ -48,6 +48,7 @@
     STOPPING = "stopping"  # the answer could come after the kill at a planned stop
     CHARGE_EXPIRED = "charge_expired"  # its units of a shared limit were reserved too long ago
     ANSWER_OWED = "answer_owed"
+    ANSWER_UNSENT = "answer_unsent"  # the system holds a part of it, for which the client has no room yet
     REQUEST_UNREAD = "request_unread"  # received bytes may be a request
     JUST_CONNECTED = "just_connected"  # a new client may be about to send a request
 
@@ -56,11 +57,12 @@
 class ClientState:
     """The state of a client's connection. `answer_owed`: a request was read and its answer is not yet written
     whole; `unread`: bytes wait in the inbox or the socket; `just_connected`: it has only just connected and
-    sent no request."""
+    sent no request; `unsent`: the system holds answers for which the client has no room yet."""
 
     answer_owed: bool
     unread: bool
     just_connected: bool = False
+    unsent: bool = False
 
 
 class Gate:
@@ -189,9 +191,12 @@
             return Denial.ANSWER_OWED
         if client.unread:
             return Denial.REQUEST_UNREAD
+        if client.unsent:
+            return Denial.ANSWER_UNSENT
         return Denial.JUST_CONNECTED if client.just_connected else None
 
     def may_break(self, client: ClientState) -> Denial | None:
         """Whether a client's connection may be closed although bytes are unread, because its stream cannot be
-        parsed or it never completes a request. Requests that were read are answered first."""
+        parsed or it never completes a request. Requests that were read are answered first; what the system
+        still holds follows, as the connection lingers."""
         return Denial.ANSWER_OWED if client.answer_owed else None
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -231,7 +231,7 @@
             else:
                 slot.request, slot.id = request, parts[2]
                 self._names.open_ids.add(slot.id)
-                if self._slots and self.refuses_pipelined():
+                if self.refuses_pipelined():
                     self._engine.refuse(request, "requests.refused_at_close", pause_us=0)
                 else:
                     self._engine.submit(request)
--- a/stackrouter/fronts/sftp/client.py
+++ b/stackrouter/fronts/sftp/client.py
@@ -183,7 +183,7 @@
         of data; `other`: a second path that the operation touches. RequestError: the connection is to be
         closed as soon as the requests before this one have been answered.
         """
-        if self.pending() and self.refuses_pipelined():
+        if self.refuses_pipelined():
             self._shared.counters.add("sftp.refused_at_close")
             raise RequestError(Status.FAILURE, "busy: come again on another connection")
         config, now = self._shared.config, clock_us()
--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -36,6 +36,8 @@
 WRITE_STALL_S = 10.0  # how long an answer may make no progress because the client does not read
 MAX_REQUEST_PAUSE_S = 0.6  # within a request, after which its client counts as stopped
 MAX_REQUEST_S = 10.0  # for a whole request, however slowly it comes
+LINGER_S = 0.5  # how long what arrives is discarded after the client has got the last answer
+UNSENT_POLL_S = 0.01  # how soon after its last bytes were sent a connection is closed at a drain or a stop
 LINGER_BYTES = 512 * 1024  # discarded at most after sending has been shut down
 # How often a paused client is checked for a hangup: 0.1 s after it left, no new work may start for it.
 HANGUP_POLL_S = 0.04
@@ -56,6 +58,7 @@
         self.active_at = self.request_since = time.monotonic()
         self.ending = self.closed = self._partial = self._requested = self._input_paused = False
         self.lingering_since: float | None = None  # when sending was shut down; no requests are taken after
+        self._delivered_at: float | None = None  # when a lingering connection's answers had all arrived
         self._discarded = self._read_in_turn = 0
         self._unread_by_client, self._read_by_client_at = 0, self.active_at
         self._wake, self._output_progress = Event(), Event()
@@ -66,9 +69,13 @@
             if (connection := self_ref()) is not None:
                 connection.wake()
 
+        def refuses_pipelined() -> bool:
+            connection = self_ref()
+            return connection is not None and connection._refuses_pipelined()
+
         self.session = listener.session(wake)
         self.session.client_hung_up = sock.hung_up
-        self.session.refuses_pipelined = listener.refuses_pipelined
+        self.session.refuses_pipelined = refuses_pipelined
         # The writer is started with the first answer: many connections never send a request.
         self._greenlets = [gevent.spawn(self._guard, self._read)]
 
@@ -87,8 +94,17 @@
         return self.settled() and not len(self.inbox)
 
     def quiescent(self) -> bool:
-        """No answer is owed, no request is half read, and the socket holds nothing that may be one."""
-        return self.idle() and not self._sock.readable()
+        """No answer is owed or unsent, no request is half read, and the socket holds none."""
+        return self.idle() and not self._sock.unsent_bytes() and not self._sock.readable()
+
+    def _refuses_pipelined(self) -> bool:
+        unanswered = not self.answered() or self._sock.unsent_bytes() > 0
+        return unanswered and self.listener.refuses_pipelined()
+
+    def _closes_when_sent(self) -> bool:
+        """Whether a drain or a stop closes it once its answers are sent, which has to be looked for."""
+        closing = self.listener.stopping_since is not None or self.listener.drain.since is not None
+        return closing and self._sock.unsent_bytes() > 0
 
     def stalled(self, now: float) -> bool:
         """Whether a limit is exceeded: for clients that never send or finish a request or read an answer."""
@@ -131,7 +147,7 @@
         drain = self.listener.drain
         if drain.since is None or self.ending:
             return False
-        owed = not self.settled()
+        owed = not self.settled() or self._sock.unsent_bytes() > 0
         readable = not owed and (len(self.inbox) > 0 or self._sock.readable())
         return drain.should_close(now, owed=owed, readable=readable,
                                   asked=self._requested, active_at=self.active_at)  # fmt: skip
@@ -143,11 +159,12 @@
         """The state that the gate decides by. `partial_counts`: count a partial request as unread bytes."""
         owed = not self.settled()
         unread = not owed and ((partial_counts and len(self.inbox) > 0) or self._sock.readable())
-        return ClientState(owed, unread, self._is_new(now))
+        unsent = not owed and self._sock.unsent_bytes() > 0
+        return ClientState(owed, unread, self._is_new(now), unsent)
 
     def finish(self) -> None:
         """At a stop: end the connection once no answer is owed and nothing is on its way."""
-        if not self.ending:
+        if not self.ending and not self._sock.unsent_bytes():
             self.end()
 
     def end_at_exit(self) -> None:
@@ -157,7 +174,8 @@
         """
         if not self.settled():
             return
-        if not self.quiescent() and not self.ending:
+        on_its_way = len(self.inbox) > 0 or self._sock.readable()
+        if on_its_way and not self.ending:
             self.listener.counters.add("clients.refused_at_exit")
             self.ending = True
             with contextlib.suppress(OSError), gevent.Timeout(MAX_EXIT_WRITE_S, TimeoutError()):
@@ -170,9 +188,10 @@
         `planned`: not while received bytes are unread; else the stream cannot be parsed, or the client never
         completes a request.
 
-        Sending is shut down, and what still arrives is discarded until the client closes too. Closing with
-        unread bytes would reset the connection, and the last answer could be lost with it. A request that
-        crosses the close is never taken: its client sees the end without an answer and sends it again.
+        Sending is shut down, and what still arrives is discarded until the client closes too, or has had the
+        time to (see `linger_over`). Closing with unread bytes would reset the connection, and the last answer
+        could be lost with it. A request that crosses the close is never taken: its client sees the end
+        without an answer and sends it again.
         """
         if self.closed or self.lingering_since is not None:
             return
@@ -192,6 +211,21 @@
         self.listener.linger(self)
         self._output_progress.set()
 
+    def delivered(self) -> bool:
+        """Whether the client's system has taken all answers: a reset cannot lose them any more."""
+        return self._sock.delivered()
+
+    def linger_over(self, now: float) -> bool:
+        """Whether a lingering connection is to be closed: its client has had `LINGER_S` to see the end since
+        it got the last answer, or it does not read."""
+        assert self.lingering_since is not None
+        if not self.delivered():
+            self._delivered_at = None
+            return now - self._last_output_progress(now) > WRITE_STALL_S
+        if self._delivered_at is None:
+            self._delivered_at = now
+        return now - self._delivered_at > LINGER_S
+
     def close(self) -> None:
         """Close both directions at once."""
         if self.closed:
@@ -317,7 +351,10 @@
         self._discard()
 
     def _discard(self) -> None:
-        """Read and drop what arrives after sending has been shut down."""
+        """Read and drop what arrives after sending has been shut down.
+
+        Past `LINGER_BYTES` nothing more is read; a close, which is a reset then, waits for the last answer.
+        """
         while not self.closed and self._discarded <= LINGER_BYTES:
             self._discarded += len(self.inbox)
             self.inbox.skip(len(self.inbox))
@@ -325,6 +362,8 @@
             self._inbox_leases = ()
             if not self._sock.read(self.inbox):
                 return
+        while not self.delivered() and not self._sock.hung_up():
+            gevent.sleep(HANGUP_POLL_S)
 
     def _write(self) -> None:
         while not self.closed:
@@ -344,7 +383,7 @@
                 self.end()
             if self.lingering_since is not None:
                 return
-            self._wake.wait()
+            self._wake.wait(UNSENT_POLL_S if self._closes_when_sent() else None)
 
     def _break_off(self) -> None:
         """End the connection within an answer: its client can tell that the answer is not whole."""
--- a/stackrouter/net/client_socket.py
+++ b/stackrouter/net/client_socket.py
@@ -13,6 +13,8 @@
 from stackrouter.net.ring import Ring
 from stackrouter.net.socket_errors import retry_transient
 
+SIOCOUTQNSD = 0x894B  # Linux: the part of the send queue that has not been sent
+
 
 class ClientSocket:
     """One accepted TCP connection. OSError from any method: the connection is broken."""
@@ -49,13 +51,20 @@
         return self._sock.fileno() < 0 or self._poll(select.POLLRDHUP)
 
     def unread_bytes(self) -> int:
-        """Bytes that have been sent and that the client's system has not taken yet; 0 if that is unknown."""
-        count = array.array("i", [0])
-        try:
-            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, count)
-        except OSError:
-            return 0
-        return count[0]
+        """Bytes that were written and that the client's system has not taken yet; 0 if that is unknown.
+
+        The end of sending counts as one byte.
+        """
+        return self._queued_bytes(termios.TIOCOUTQ)
+
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and that this system has not sent yet, because the client has no room for
+        them; 0 if that is unknown."""
+        return self._queued_bytes(SIOCOUTQNSD)
+
+    def delivered(self) -> bool:
+        """Whether the client's system has taken everything, with or without the end of sending."""
+        return self.unread_bytes() <= 1
 
     def end_sending(self) -> None:
         """Shut down sending: the client sees the end after all written data; reading still works."""
@@ -67,6 +76,14 @@
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
+    def _queued_bytes(self, request: int) -> int:
+        count = array.array("i", [0])
+        try:
+            fcntl.ioctl(self._sock.fileno(), request, count)
+        except OSError:
+            return 0
+        return count[0]
+
     def _poll(self, events: int) -> bool:
         poll = select.poll()
         poll.register(self._sock.fileno(), events)
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -20,7 +20,6 @@
 from stackrouter.ops.drain import Drain, refuses_pipelined
 
 BACKLOG = 1024
-LINGER_S = 0.5  # how long what arrives is discarded after sending has been shut down
 MAX_REJECTED_LINGERING = 8  # lingering clients beyond the cap; they use reserved descriptors
 SWEEP_S = 0.2  # interval between checks of all connections
 # Above this fraction of the cap inactive connections are closed early, so clients hold no more themselves ...
@@ -190,7 +189,11 @@
             len(self.connections) + len(self.lingering) > self.max_clients + MAX_REJECTED_LINGERING
             and self.lingering
         ):
-            next(iter(self.lingering)).close()
+            (self._lingering_and_delivered() or next(iter(self.lingering))).close()
+
+    def _lingering_and_delivered(self) -> Connection | None:
+        """The connection that lingers longest of those whose clients have got all answers."""
+        return next((connection for connection in self.lingering if connection.delivered()), None)
 
     def _relieve_pressure(self) -> None:
         """Stay below the cap: clients that keep connections after a request would leave none to others."""
@@ -203,8 +206,8 @@
         `at_once`: a descriptor is needed now, so a lingering connection, whose client has seen its end, is
         closed; else the inactive connection itself is closed at once: its last answer was sent long ago.
         """
-        if at_once and self.lingering:
-            next(iter(self.lingering)).close()
+        if at_once and (ended := self._lingering_and_delivered()) is not None:
+            ended.close()
             return True
         at = time.monotonic()
         for connection in self.connections:
@@ -231,7 +234,7 @@
                 else:
                     connection.close()  # the client never reads its answer
             for connection in list(self.lingering):
-                if now - (connection.lingering_since or now) > LINGER_S:
+                if connection.linger_over(now):
                     connection.close()
             if self.drain.since is not None:
                 self.close_drained()
--- a/stackrouter/net/session.py
+++ b/stackrouter/net/session.py
@@ -36,7 +36,8 @@
 
     # Set by the connection: whether the client has closed, even if not yet read.
     client_hung_up: Callable[[], bool]
-    # Set by the connection: whether a request behind one that is not answered yet is refused at once.
+    # Set by the connection: whether a request that is read now is refused at once, because answers before it
+    # have not reached the client and the connection is to be closed.
     refuses_pipelined: Callable[[], bool]
     # Minimum size in bytes of the request that `received` found incomplete; not more than the inbox holds:
     # unknown.
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -359,6 +359,57 @@
             self.assertTrue(client.recv(2048))
             gevent.sleep(0.02)
 
+    def test_an_ended_connection_stays_open_while_its_client_reads(self) -> None:
+        """Guards against a close half a second after the end, with bytes unsent: the client's next request
+        turns that into a reset, which discards them."""
+        for linger_bytes in (client_connection.LINGER_BYTES, 100):
+            with (
+                self.subTest(linger_bytes),
+                mock.patch.object(client_connection, "LINGER_BYTES", linger_bytes),
+            ):
+                self.sessions.clear()
+                listener, answer_bytes = self.listener(), 200_000
+                client = self.slow_client(listener, answer_bytes)
+                self.sessions[0].wake()
+                connection = next(iter(listener.connections))
+                wait_until(connection.answered, "written to the system")
+                connection.end(planned=False)
+                self.assertFalse(listener._make_room(at_once=True), "not for room either")
+                received, began_at = 0, time.monotonic()
+                while chunk := client.recv(4096):
+                    received += len(chunk)
+                    gevent.sleep(0.025)
+                    client.sendall(b"late\n")
+                self.assertEqual(received, answer_bytes)
+                self.assertGreater(time.monotonic() - began_at, 2 * client_connection.LINGER_S)
+                client.close()
+                wait_until(lambda c=connection: c.closed, "closed")  # type: ignore[misc]
+
+    def test_an_ended_connection_whose_client_does_not_read_is_closed(self) -> None:
+        """Guards against connections that nothing ends."""
+        with mock.patch.object(client_connection, "WRITE_STALL_S", 0.4):
+            listener = self.listener()
+            self.slow_client(listener, 200_000)
+            self.sessions[0].wake()
+            connection = next(iter(listener.connections))
+            wait_until(connection.answered, "written to the system")
+            connection.end(planned=False)
+            wait_until(lambda: connection.closed, "closed")
+
+    def test_a_connection_with_unsent_answers_is_not_closed_for_room_or_a_stop(self) -> None:
+        listener = self.listener()
+        client = self.slow_client(listener, 200_000)
+        self.sessions[0].wake()
+        connection = next(iter(listener.connections))
+        wait_until(connection.answered, "written to the system")
+        gevent.sleep(listening.MIN_INACTIVE_S + 0.002)
+        self.assertFalse(listener._make_room(at_once=True))
+        connection.finish()
+        self.assertFalse(connection.quiescent() or connection.ending or listener.idle())
+        while client.recv(1 << 20) and connection._sock.unsent_bytes():
+            pass
+        self.assertTrue(connection.quiescent())
+
     def test_a_client_that_reads_its_last_answer_slowly_is_not_idle(self) -> None:
         """Guards against an end, and a reset by the next request, while the client still reads an answer."""
         listener = self.listener(idle_s=0.2)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import itertools
 import unittest
 from collections.abc import Iterator
 from dataclasses import replace
@@ -182,9 +183,10 @@
     def test_a_client_with_an_owed_answer_or_unread_bytes_is_not_closed(self) -> None:
         for owed in (False, True):
             for unread in (False, True):
-                for young in (False, True):
-                    client = ClientState(owed, unread, young)
-                    self.assertEqual(self.gate.may_close(client) is None, not (owed or unread or young))
+                for young, unsent in itertools.product((False, True), repeat=2):
+                    client = ClientState(owed, unread, young, unsent)
+                    may_close = not (owed or unread or young or unsent)
+                    self.assertEqual(self.gate.may_close(client) is None, may_close)
                     self.assertEqual(self.gate.may_break(client) is None, not owed)
 
 
