Requests behind a value that breaks off are answered

Cause: a value was begun for its client whatever had been read behind it (Pool._extend_inbox, Engine._on_time_over); when it breaks off, Connection._break_off drops the answers behind, as RESP2 can tell it only by the end of the connection. Ruled out: the other node (had answered), another order of answers (RESP2 has none). Change: with requests behind it (Request.has_requests_behind) a value is stored whole, or waits until 50 ms before its client's time is over; one of usual length is given out only whole. A connection is not read while a value passes on (wait for readability, then ask again, as a read that waits would take what comes). Left: a long value that is still arriving at its client's time, or that memory cannot hold, and then breaks off.

--- a/stackrouter/core/answer_stream.py
+++ b/stackrouter/core/answer_stream.py
@@ -14,7 +14,9 @@
 
 from gevent.event import Event
 
-MAX_BUFFERED_BYTES: Final = 32 * 1024
+from stackrouter.core.attempt_progress import USUAL_VALUE_BYTES
+
+MAX_BUFFERED_BYTES: Final = 32 * 1024  # of a long value; one of usual length fits in whole
 
 
 class StreamState(enum.Enum):
@@ -35,14 +37,20 @@
         self.on_change: Callable[[], None] = lambda: None  # called when there is something new for the client
         self._pieces: deque[bytes] = deque()
         self._buffered = 0
+        self._max_buffered = MAX_BUFFERED_BYTES if self.is_long else max(length, MAX_BUFFERED_BYTES)
         self._has_room = Event()
 
     # --- the node's side
 
+    @property
+    def is_long(self) -> bool:
+        """Whether the value is longer than the protocol specifies."""
+        return self.length > USUAL_VALUE_BYTES
+
     @property
     def room(self) -> int:
         """Bytes that may be put in now."""
-        return max(0, MAX_BUFFERED_BYTES - self._buffered)
+        return max(0, self._max_buffered - self._buffered)
 
     def wait_for_room(self) -> None:
         """Wait until the client's side has taken something."""
--- a/stackrouter/core/attempt_progress.py
+++ b/stackrouter/core/attempt_progress.py
@@ -49,7 +49,9 @@
 
     `value_bytes`: the length of the value as the node stated it; `received_bytes`: of the answer;
     `begun_us`: when the length was known; `last_byte_us`: when the answer's latest byte came;
-    `paused_here`: this gateway does not read now, for lack of memory or because the client is slow.
+    `paused_here`: this gateway does not read now, for lack of memory or because the client is slow;
+    `paused_us`: for how long it has not read so far; `is_over_time`: the attempt's time is over, and its
+    answer goes on arriving.
     """
 
     phase: Phase = Phase.WAITING
@@ -58,6 +60,8 @@
     begun_us: int = 0
     last_byte_us: int = 0
     paused_here: bool = False
+    paused_us: int = 0
+    is_over_time: bool = False
 
     def record_received(self, received_bytes: int, value_bytes: int | None, now_us: int) -> None:
         """Record that the answer has grown to `received_bytes`; `value_bytes`: the length of its value, if
@@ -68,8 +72,16 @@
 
     def resume(self, now_us: int) -> None:
         """This gateway reads again: the node's pause counts from now."""
+        self.paused_us += max(0, now_us - self.last_byte_us)
         self.paused_here, self.last_byte_us = False, now_us
 
+    def answered_at_us(self, now_us: int) -> int:
+        """When the node counts as having answered: an answer that ends now, less the time for which this
+        gateway did not read it; one that outlasts the attempt's time, when it began."""
+        if self.is_over_time or self.phase is Phase.PASSING_ON:
+            return self.begun_us
+        return max(self.begun_us, now_us - self.paused_us)
+
     def max_pause_us(self) -> int:
         """How long the node may pause within the answer."""
         if self.value_bytes > USUAL_VALUE_BYTES:
--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -62,6 +62,9 @@
 WAKE_UP: tuple[Callable[..., None], tuple[Any, ...]] = (lambda: None, ())
 SMALL_BODY_BYTES = 4096  # requests with smaller bodies need no lease: their number is bounded by `max_open`
 COPIES_OF_BODY = 2  # the body as received, and the command for a node while it is being written
+# How long before the client's time is over an answer that is arriving is passed on at the latest: before the
+# decision module gives up the request.
+PASS_ON_MARGIN_US = 50_000
 MAX_ROUNDS = 100  # rounds of one step, as actions may cause new events; more rounds than this are a loop
 
 
@@ -441,7 +444,7 @@
         self._events.append(
             Answer(
                 request.id, attempt.number, attempt.node.name, reply.outcome, closed,
-                self._now - attempt.sent_us, reply.elsewhere_units,
+                attempt.progress.answered_at_us(self._now) - attempt.sent_us, reply.elsewhere_units,
                 0 if reply.used_percent is None else reply.used_percent + 1,
                 reply.report,
             )
@@ -467,14 +470,32 @@
         if not attempt.live:
             return
         expiry = attempt.progress.expired(self._now)
-        if expiry is Expiry.PASS_ON and self._begin_passing_on(attempt, self._now) is not None:
+        if expiry is Expiry.PASS_ON and self._waits_to_be_whole(attempt):
+            self.counters.add("attempts.kept_for_requests_behind")
+            attempt.progress.is_over_time = True
+            pass_on_by_us = attempt.request.deadline_us - PASS_ON_MARGIN_US
+            self._set_timer(attempt, min(attempt.progress.stalled_at_us(self._now), pass_on_by_us))
+        elif expiry is Expiry.PASS_ON and self._begin_passing_on(attempt, self._now) is not None:
             self._answer_begun(attempt)
         elif expiry is Expiry.WAIT:
             self._watch_for_stall(attempt)
+        elif self._now < attempt.deadline_us:  # there was no answer to be passed on
+            self._set_timer(attempt, attempt.deadline_us)
         else:
             self.counters.add(f"attempts.timeout_in.{attempt.progress.phase.value}")
             self._abort(attempt, Outcome.TIMEOUT)
 
+    def _set_timer(self, attempt: Attempt, at_us: int) -> None:
+        attempt.timeout = self._wheel.add(at_us, lambda: self._on_time_over(attempt))
+
+    def _waits_to_be_whole(self, attempt: Attempt) -> bool:
+        """Whether an answer that is arriving is not begun yet, since requests behind it would be lost with
+        it; at last it is begun in time. Without memory to store it there is no use in waiting."""
+        request = attempt.request
+        if attempt.progress.paused_here or not request.has_requests_behind():
+            return False
+        return self._now < request.deadline_us - PASS_ON_MARGIN_US
+
     def _begin_passing_on(self, attempt: Attempt, now_us: int) -> AnswerStream | None:
         """Begins the request's final answer with what has come of the value. None: that is not possible."""
         request = attempt.request
@@ -495,14 +516,13 @@
         """For the module the attempt ends here: the node has done its work, and the client may be what the
         rest of the value waits for."""
         request = attempt.request
-        rtt_us = attempt.progress.begun_us - attempt.sent_us
+        rtt_us = attempt.progress.answered_at_us(self._now) - attempt.sent_us
         self._events.append(Answer(request.id, attempt.number, attempt.node.name, Outcome.DONE, True, rtt_us))
         if attempt.live:
             self._watch_for_stall(attempt)
 
     def _watch_for_stall(self, attempt: Attempt) -> None:
-        stalled_at_us = attempt.progress.stalled_at_us(self._now)
-        attempt.timeout = self._wheel.add(stalled_at_us, lambda: self._on_time_over(attempt))
+        self._set_timer(attempt, attempt.progress.stalled_at_us(self._now))
 
     def _end_passing_on(self, attempt: Attempt, reply: Reply) -> None:
         """The answer has come whole and sound, or its rest will never come."""
@@ -622,5 +642,8 @@
         self.counters.add("attempts.started")
         if self.tap is not None:
             self.tap(facts.Sent(self._now, int(request.id), number, name, timeout_us))
-        attempt.timeout = self._wheel.add(deadline_us, lambda: self._on_time_over(attempt))
+        pass_on_by_us = request.deadline_us - PASS_ON_MARGIN_US
+        self._set_timer(
+            attempt, deadline_us if pass_on_by_us <= self._now else min(deadline_us, pass_on_by_us)
+        )
         self.transport.start(attempt)
--- a/stackrouter/core/model.py
+++ b/stackrouter/core/model.py
@@ -98,6 +98,11 @@
     return False
 
 
+def nothing_behind() -> bool:
+    """Default for `Request.has_requests_behind` where each answer stands for itself."""
+    return False
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """A client's request, independent of its protocol. `deadline_us`: when its client stops waiting."""
@@ -122,6 +127,9 @@
     # Begins to answer with a value that is still arriving; called instead of `answer`, after which no other
     # answer follows. None: the front cannot do that.
     begin_answer: Callable[[AnswerStream], None] | None = None
+    # Whether more of its connection has been read behind it: that could not be answered any more if its value
+    # broke off after it had been begun.
+    has_requests_behind: Callable[[], bool] = nothing_behind
     # Set by the engine only:
     # How long after the first attempt that may have run another may be sent; None: without limit.
     repeat_window_us: int | None = None
--- a/stackrouter/fronts/platform/client.py
+++ b/stackrouter/fronts/platform/client.py
@@ -159,9 +159,10 @@
 
 class _Slot:
     """A command's position in the order of answers. `parts`: its answer, None until it is known; `stream`:
-    its value, if that is still arriving when the client gets its beginning."""
+    its value, if that is still arriving when the client gets its beginning; `waits_to_be_whole`: the client
+    gets nothing of the stream before it is complete."""
 
-    __slots__ = ("id", "lease", "parts", "request", "stream")
+    __slots__ = ("id", "lease", "parts", "request", "stream", "waits_to_be_whole")
 
     def __init__(self, data: bytes | None = None) -> None:
         self.id = b""
@@ -169,6 +170,7 @@
         self.request: Request | None = None
         self.lease: object = None  # kept until the whole answer has been output
         self.stream: AnswerStream | None = None
+        self.waits_to_be_whole = False
 
     def release(self) -> None:
         """Break reference cycles, so that the memory is free without the garbage collector."""
@@ -189,10 +191,19 @@
         self.refuses_pipelined = take_pipelined
         self._slots: deque[_Slot] = deque()
         self._stream_begun = False  # the client has the beginning of the first slot's stream
+        # Slots whose values may still break off within, which ends the connection: nothing is taken behind.
+        self._passing_on: set[_Slot] = set()
+        self._is_partly_read = False  # the inbox holds more than the commands taken
         self.min_inbox_bytes = 0
         self.answer_broken = False
 
     def received(self, inbox: Inbox) -> None:
+        try:
+            self._take_commands(inbox)
+        finally:
+            self._is_partly_read = len(inbox) > 0
+
+    def _take_commands(self, inbox: Inbox) -> None:
         self.min_inbox_bytes = 0
         while not self.full():
             try:
@@ -218,6 +229,7 @@
                 request = parse_request(parts, self._names, lambda result: self._set_answer(slot, result))
                 request.client_hung_up = self.client_hung_up
                 request.begin_answer = lambda stream: self._begin_answer(slot, stream)
+                request.has_requests_behind = lambda: self._has_commands_behind(slot)
                 # Protects the open request: nodes would treat this one as another attempt of it.
                 if parts[2] in self._names.open_ids:
                     raise BadCommandError("a request with this id is open")
@@ -256,8 +268,16 @@
         if self._slots and self._slots[0] is slot:
             self._wake()
 
+    def _has_commands_behind(self, slot: _Slot) -> bool:
+        """Whether commands behind this one have been taken, or a part of one has been read."""
+        return self._is_partly_read or (bool(self._slots) and self._slots[-1] is not slot)
+
     def _begin_answer(self, slot: _Slot, stream: AnswerStream) -> None:
         slot.stream = stream
+        # Of a value of usual length only the last byte is timed, so it can wait; a long one must be begun.
+        slot.waits_to_be_whole = not stream.is_long and self._has_commands_behind(slot)
+        if not slot.waits_to_be_whole:
+            self._passing_on.add(slot)
         stream.on_change = lambda: self._stream_changed(slot)
         self._stream_changed(slot)
 
@@ -265,13 +285,16 @@
         assert slot.stream is not None
         if slot.stream.state is not StreamState.OPEN:
             slot.request = None
+            self._passing_on.discard(slot)
             self._names.open_ids.discard(slot.id)
         if self._slots and self._slots[0] is slot:
             self._wake()
 
-    def _stream_output(self, stream: AnswerStream) -> bytes | None:
+    def _stream_output(self, slot: _Slot, stream: AnswerStream) -> bytes | None:
         """The next bytes of the first slot's value, which may still be arriving."""
         if not self._stream_begun:
+            if slot.waits_to_be_whole and stream.state is StreamState.OPEN:
+                return None
             if stream.state is StreamState.BROKEN:  # before the client had anything of it
                 self._slots.popleft().release()
                 return FAILED
@@ -289,7 +312,7 @@
     def output(self) -> bytes | None:
         slot = self._slots[0] if self._slots else None
         if slot is not None and slot.stream is not None:
-            return self._stream_output(slot.stream)
+            return self._stream_output(slot, slot.stream)
         parts = slot.parts if slot is not None else None
         if parts is None:
             return None
@@ -302,7 +325,7 @@
         return len(self._slots)
 
     def full(self) -> bool:
-        return len(self._slots) >= MAX_PIPELINED
+        return len(self._slots) >= MAX_PIPELINED or bool(self._passing_on)
 
     def on_disconnect(self) -> None:
         for slot in self._slots:
@@ -311,3 +334,4 @@
                 self._names.open_ids.discard(slot.id)
             slot.release()
         self._slots.clear()
+        self._passing_on.clear()
--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -266,6 +266,8 @@
                 if not self._extend_inbox():
                     return
                 continue
+            elif not self._may_read():
+                continue
             elif not self._read_some():
                 return
             if self.lingering_since is not None:
@@ -286,6 +288,15 @@
             self._requested = self._requested or taken
             self._partial = len(self.inbox) > 0
 
+    def _may_read(self) -> bool:
+        """Wait for bytes while answers are owed; False: reading has been paused meanwhile.
+
+        What is read behind an answer that is begun meanwhile, and that then breaks off, would be lost.
+        """
+        if self.session.pending():
+            self._sock.wait_readable()
+        return self.lingering_since is not None or not self.session.full()
+
     def _read_some(self) -> int:
         """Read once into the inbox; return the byte count, 0 if the client ended sending.
 
--- a/stackrouter/net/client_socket.py
+++ b/stackrouter/net/client_socket.py
@@ -24,6 +24,10 @@
         self._sock = sock
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def wait_readable(self) -> None:
+        """Wait until `read` need not wait."""
+        socket.wait_read(self._sock.fileno())
+
     def read(self, inbox: Ring) -> int:
         """Receive once into the ring and return the byte count; 0: the client ended sending."""
         return retry_transient(lambda: inbox.receive(self._sock))
--- a/stackrouter/net/pool.py
+++ b/stackrouter/net/pool.py
@@ -198,7 +198,8 @@
     def _extend_inbox(self, attempt: Attempt, connection: Connection, exchange: Exchange) -> bool:
         """Make room for more of an answer, or begin to pass it on; False: no answer may be that large.
 
-        If the exchange needs no more than the inbox can hold already, the answer's size is not known.
+        If the exchange needs no more than the inbox can hold already, the answer's size is not known. A long
+        value is stored whole only where requests behind it would be lost with it.
         """
         bound, min_bytes = connection.inbox.bound, exchange.min_inbox_bytes
         if min_bytes > bound:
@@ -210,7 +211,9 @@
         if extended > MAX_USUAL_ANSWER_BYTES and exchange.value_bytes is not None:
             if min_bytes > exchange.value_bytes + FRAMING_BYTES:
                 return False  # not the value is that long, but what follows it
-            return self.pass_on(attempt) is not None
+            fits = extended <= self.memory.large.max_bytes
+            if not fits or not attempt.request.has_requests_behind():
+                return self.pass_on(attempt) is not None
         lease = self._wait_for_memory(attempt, extended - bound)
         if lease is None:
             return attempt.stream is not None
--- a/tests/shaped_nodes.py
+++ b/tests/shaped_nodes.py
@@ -30,6 +30,7 @@
     LUMPS = "lumps"  # in three lumps, evenly apart
     LATE_BODY = "late-body"  # its head at once, its bytes at the end of the time
     BIG = "big"  # as fast as the connection takes it
+    STEADY_STALL = "steady-stall"  # half of it evenly over the whole time, then nothing
     STALL = "stall"  # half of it, then nothing
     BREAK = "break"  # half of it, then a reset
     SPOILT_END = "spoilt-end"  # the whole value, then bytes that are no sound end
@@ -53,7 +54,8 @@
 def pieces(value: Value, data: bytes) -> Iterator[tuple[float, bytes]]:
     """The pieces in which the value is written, each with the pause before it in seconds."""
     match value.shape:
-        case Shape.STEADY:
+        case Shape.STEADY | Shape.STEADY_STALL:
+            data = data if value.shape is Shape.STEADY else data[: len(data) // 2]
             count = max(1, round(value.duration_s / STEP_S))
             pause_s = value.duration_s / count
         case Shape.LUMPS:
@@ -89,7 +91,7 @@
                 gevent.sleep(pause_s)
                 sock.sendall(piece)
             match value.shape:
-                case Shape.STALL:
+                case Shape.STALL | Shape.STEADY_STALL:
                     sock.recv(1)  # until the gateway gives up
                     return False
                 case Shape.BREAK:
--- a/tests/test_attempt_progress.py
+++ b/tests/test_attempt_progress.py
@@ -21,7 +21,7 @@
     Phase,
 )
 from stackrouter.core.counters import Counters
-from stackrouter.core.engine import Engine
+from stackrouter.core.engine import PASS_ON_MARGIN_US, Engine
 from stackrouter.core.memory import MemoryAccount
 from stackrouter.core.model import Attempt, Reply, Request, Result, Verdict
 from stackrouter.fronts.platform import resp
@@ -219,6 +219,19 @@
         self.assertEqual((self.engine.counters["requests.failed"], self.results), (1, []))
         self.assertTrue(self.engine.idle())
 
+    def test_a_value_before_other_requests_is_begun_just_before_its_clients_time_is_over(self) -> None:
+        """Guards against requests behind a value that are lost when it breaks off early, and against a value
+        that the decisions give up while it arrives."""
+        request = self.submit()
+        request.has_requests_behind = lambda: True
+        attempt = self.transport.started[-1]
+        while self.now < request.deadline_us - PASS_ON_MARGIN_US:
+            self.assertEqual((self.streams, self.results), ([], []))
+            attempt.progress.record_received(100, LONG, self.now)
+            self.advance(5_000)
+        self.advance(5_000)
+        self.assertEqual((len(self.streams), self.results, self.transport.aborted), (1, [], []))
+
     def test_a_client_that_leaves_ends_the_attempt(self) -> None:
         request = self.submit()
         attempt = self.transport.started[-1]
