Move what a client has taken of its answers out of the connection

Change: net/delivery.py (unsent, complete, stalled, linger over), with its constants; the end of sending, one byte of the send queue, is taken off where it is read, so that one unread byte of an answer counts. The tests patch the constants where they stand now.

--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -21,6 +21,7 @@
 from stackrouter.core.memory import MemoryLease
 from stackrouter.errors import log_unexpected
 from stackrouter.net.client_socket import ClientSocket
+from stackrouter.net.delivery import WRITE_STALL_S, Delivery
 from stackrouter.net.ring import INITIAL_BYTES, Ring
 from stackrouter.net.session import INBOX_BYTES, MalformedError
 
@@ -33,10 +34,8 @@
 READ_BYTES_PER_TURN = 64 * 1024  # then all others have their turn, however much the client has sent
 MAX_MEMORY_WAIT_S = 0.5  # how long a client with a large request waits for memory to read it
 MAX_EXIT_WRITE_S = 0.01  # for the refusal of a request that is half read when the process exits
-WRITE_STALL_S = 10.0  # how long an answer may make no progress because the client does not read
 MAX_REQUEST_PAUSE_S = 0.6  # within a request, after which its client counts as stopped
 MAX_REQUEST_S = 10.0  # for a whole request, however slowly it comes
-LINGER_S = 0.5  # how long what arrives is discarded after the client has got the last answer
 UNSENT_POLL_S = 0.01  # how soon after its last bytes were sent a connection is closed at a drain or a stop
 LINGER_BYTES = 512 * 1024  # discarded at most after sending has been shut down
 # How often a paused client is checked for a hangup: 0.1 s after it left, no new work may start for it.
@@ -58,9 +57,8 @@
         self.active_at = self.request_since = time.monotonic()
         self.ending = self.closed = self._partial = self._requested = self._input_paused = False
         self.lingering_since: float | None = None  # when sending was shut down; no requests are taken after
-        self._delivered_at: float | None = None  # when a lingering connection's answers had all arrived
         self._discarded = self._read_in_turn = 0
-        self._unread_by_client, self._read_by_client_at = 0, self.active_at
+        self.delivery = Delivery(sock, self.active_at)
         self._wake, self._output_progress = Event(), Event()
         # Weak, so that a closed connection is freed at once and not only by the cyclic garbage collector.
         self_ref = weakref.ref(self)
@@ -95,29 +93,29 @@
 
     def quiescent(self) -> bool:
         """No answer is owed or unsent, no request is half read, and the socket holds none."""
-        return self.idle() and not self._sock.unsent_bytes() and not self._sock.readable()
+        return self.idle() and not self.delivery.unsent() and not self._sock.readable()
 
     def _refuses_pipelined(self) -> bool:
-        unanswered = not self.answered() or self._sock.unsent_bytes() > 0
+        unanswered = not self.answered() or self.delivery.unsent()
         return unanswered and self.listener.refuses_pipelined()
 
     def _closes_when_sent(self) -> bool:
         """Whether a drain or a stop closes it once its answers are sent, which has to be looked for."""
         closing = self.listener.stopping_since is not None or self.listener.drain.since is not None
-        return closing and self._sock.unsent_bytes() > 0
+        return closing and self.delivery.unsent()
 
     def stalled(self, now: float) -> bool:
         """Whether a limit is exceeded: for clients that never send or finish a request or read an answer."""
         timeouts = self.listener.timeouts
         if self._writing():
-            return now - self._last_output_progress(now) > WRITE_STALL_S
+            return self.delivery.stalled(now, self.active_at)
         if not self.settled():
             return False  # requests taken are answered first, whatever partial one follows
         if not self._requested or len(self.inbox):
             return not self.ending and self._request_overdue(now)
         if not self.idle() or now - self.active_at <= timeouts.idle_s or self._sock.readable():
             return False
-        return not self._sock.unread_bytes() or now - self._last_output_progress(now) > WRITE_STALL_S
+        return self.delivery.complete() or self.delivery.stalled(now, self.active_at)
 
     def _request_overdue(self, now: float) -> bool:
         """Whether the client takes too long to complete a request: it has stopped, or will never end."""
@@ -125,18 +123,6 @@
         stopped = now - self.active_at > MAX_REQUEST_PAUSE_S
         return age_s > MAX_REQUEST_S or (stopped and age_s > self.listener.timeouts.request_s)
 
-    def _last_output_progress(self, now: float) -> float:
-        """When the client last took something of what is being written.
-
-        A client that reads slowly takes bytes out of the system's buffer for a long time before that has room
-        for more.
-        """
-        unread = self._sock.unread_bytes()
-        if unread < self._unread_by_client:
-            self._read_by_client_at = now
-        self._unread_by_client = unread
-        return max(self.active_at, self._read_by_client_at)
-
     def closable_for_room(self, now: float) -> bool:
         """Whether it may be closed to make room: no answer is owed and no request is about to arrive."""
         partial_counts = now - self.active_at <= PARTIAL_REQUEST_GRACE_S
@@ -147,7 +133,7 @@
         drain = self.listener.drain
         if drain.since is None or self.ending:
             return False
-        owed = not self.settled() or self._sock.unsent_bytes() > 0
+        owed = not self.settled() or self.delivery.unsent()
         readable = not owed and (len(self.inbox) > 0 or self._sock.readable())
         return drain.should_close(now, owed=owed, readable=readable,
                                   asked=self._requested, active_at=self.active_at)  # fmt: skip
@@ -159,12 +145,12 @@
         """The state that the gate decides by. `partial_counts`: count a partial request as unread bytes."""
         owed = not self.settled()
         unread = not owed and ((partial_counts and len(self.inbox) > 0) or self._sock.readable())
-        unsent = not owed and self._sock.unsent_bytes() > 0
+        unsent = not owed and self.delivery.unsent()
         return ClientState(owed, unread, self._is_new(now), unsent)
 
     def finish(self) -> None:
         """At a stop: end the connection once no answer is owed and nothing is on its way."""
-        if not self.ending and not self._sock.unsent_bytes():
+        if not self.ending and not self.delivery.unsent():
             self.end()
 
     def end_at_exit(self) -> None:
@@ -211,20 +197,9 @@
         self.listener.linger(self)
         self._output_progress.set()
 
-    def delivered(self) -> bool:
-        """Whether the client's system has taken all answers: a reset cannot lose them any more."""
-        return self._sock.delivered()
-
     def linger_over(self, now: float) -> bool:
-        """Whether a lingering connection is to be closed: its client has had `LINGER_S` to see the end since
-        it got the last answer, or it does not read."""
-        assert self.lingering_since is not None
-        if not self.delivered():
-            self._delivered_at = None
-            return now - self._last_output_progress(now) > WRITE_STALL_S
-        if self._delivered_at is None:
-            self._delivered_at = now
-        return now - self._delivered_at > LINGER_S
+        """Whether a lingering connection is to be closed."""
+        return self.delivery.linger_over(now, self.active_at)
 
     def close(self) -> None:
         """Close both directions at once."""
@@ -364,7 +339,7 @@
     def _discard(self) -> None:
         """Read and drop what arrives after sending has been shut down.
 
-        Past `LINGER_BYTES` nothing more is read; a close, which is a reset then, waits for the last answer.
+        Past `LINGER_BYTES` nothing more is read; the close, which is a reset then, is left to the sweep.
         """
         while not self.closed and self._discarded <= LINGER_BYTES:
             self._discarded += len(self.inbox)
@@ -373,7 +348,7 @@
             self._inbox_leases = ()
             if not self._sock.read(self.inbox):
                 return
-        while not self.delivered() and not self._sock.hung_up():
+        while not self._sock.hung_up():
             gevent.sleep(HANGUP_POLL_S)
 
     def _write(self) -> None:
--- a/stackrouter/net/client_socket.py
+++ b/stackrouter/net/client_socket.py
@@ -22,6 +22,7 @@
     def __init__(self, sock: socket.socket) -> None:
         """OSError: the client has disconnected already."""
         self._sock = sock
+        self._end_bytes = 0  # of the send queue: the end of sending counts as one byte
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def wait_readable(self) -> None:
@@ -55,24 +56,18 @@
         return self._sock.fileno() < 0 or self._poll(select.POLLRDHUP)
 
     def unread_bytes(self) -> int:
-        """Bytes that were written and that the client's system has not taken yet; 0 if that is unknown.
-
-        The end of sending counts as one byte.
-        """
-        return self._queued_bytes(termios.TIOCOUTQ)
+        """Bytes that were written and that the client's system has not taken yet; 0 if that is unknown."""
+        return max(0, self._queued_bytes(termios.TIOCOUTQ) - self._end_bytes)
 
     def unsent_bytes(self) -> int:
         """Bytes that were written and that this system has not sent yet, because the client has no room for
         them; 0 if that is unknown."""
         return self._queued_bytes(SIOCOUTQNSD)
 
-    def delivered(self) -> bool:
-        """Whether the client's system has taken everything, with or without the end of sending."""
-        return self.unread_bytes() <= 1
-
     def end_sending(self) -> None:
         """Shut down sending: the client sees the end after all written data; reading still works."""
         self._sock.shutdown(socket.SHUT_WR)
+        self._end_bytes = 1
 
     def close(self) -> None:
         """Close both directions at once."""
--- a/stackrouter/net/listener.py
+++ b/stackrouter/net/listener.py
@@ -193,7 +193,7 @@
 
     def _lingering_and_delivered(self) -> Connection | None:
         """The connection that lingers longest of those whose clients have got all answers."""
-        return next((connection for connection in self.lingering if connection.delivered()), None)
+        return next((connection for connection in self.lingering if connection.delivery.complete()), None)
 
     def _relieve_pressure(self) -> None:
         """Stay below the cap: clients that keep connections after a request would leave none to others."""
--- a/tests/test_client_crossings.py
+++ b/tests/test_client_crossings.py
@@ -18,7 +18,7 @@
 from stackrouter.core.counters import Counters
 from stackrouter.core.gate import ClientState, Denial
 from stackrouter.core.model import Inbox, assume_connected, take_pipelined
-from stackrouter.net import client_connection
+from stackrouter.net import client_connection, delivery
 from stackrouter.net import listener as listening
 from stackrouter.net.client_connection import (
     NEW_CONNECTION_GRACE_S,
@@ -323,7 +323,7 @@
     def test_a_client_that_reads_a_long_answer_slowly_is_not_cut_off(self) -> None:
         """Guards against a client taken for stalled while it reads what the system has buffered for it."""
         client = self.slow_client(self.listener(), 16 << 20)  # more than the system buffers
-        with mock.patch("stackrouter.net.client_connection.WRITE_STALL_S", 0.4):
+        with mock.patch.object(delivery, "WRITE_STALL_S", 0.4):
             self.sessions[0].wake()
             self.read_slowly(client, 2.0)
             self.assertEqual(self.counters["clients.stalled"], 0)
@@ -381,13 +381,13 @@
                     gevent.sleep(0.025)
                     client.sendall(b"late\n")
                 self.assertEqual(received, answer_bytes)
-                self.assertGreater(time.monotonic() - began_at, 2 * client_connection.LINGER_S)
+                self.assertGreater(time.monotonic() - began_at, 2 * delivery.LINGER_S)
                 client.close()
                 wait_until(lambda c=connection: c.closed, "closed")  # type: ignore[misc]
 
     def test_an_ended_connection_whose_client_does_not_read_is_closed(self) -> None:
         """Guards against connections that nothing ends."""
-        with mock.patch.object(client_connection, "WRITE_STALL_S", 0.4):
+        with mock.patch.object(delivery, "WRITE_STALL_S", 0.4):
             listener = self.listener()
             self.slow_client(listener, 200_000)
             self.sessions[0].wake()
--- a/tests/test_planned_close.py
+++ b/tests/test_planned_close.py
@@ -74,9 +74,10 @@
             began_at = time.monotonic()
             gateway.program.send_signal(signal.SIGTERM)
             self.assertEqual(sock.recv(100), b"-BUSY\r\n")
-            self.assertEqual(gateway.wait(), 0)
-            self.assertLess(time.monotonic() - began_at, EARLIEST_KILL_S)
+            self.assertEqual(sock.recv(100), b"")
             writer.kill()
+        self.assertEqual(gateway.wait(), 0)
+        self.assertLess(time.monotonic() - began_at, EARLIEST_KILL_S)
         self.assertEqual(gateway.received(), [])
 
     def test_a_client_that_stops_within_its_request_delays_a_stop_only_until_its_own_end(self) -> None:
