--- a/stackrouter/core/engine.py
+++ b/stackrouter/core/engine.py
@@ -439,12 +439,13 @@
             self._end_passing_on(attempt, reply)
             return
         closed = served or request.answered
+        answered_us = attempt.progress.answered_at_us(self._now) if served else self._now
         if served:
             self._answer(request, Result(Verdict.SERVED, reply.value, lease=reply.lease))
         self._events.append(
             Answer(
                 request.id, attempt.number, attempt.node.name, reply.outcome, closed,
-                attempt.progress.answered_at_us(self._now) - attempt.sent_us, reply.elsewhere_units,
+                answered_us - attempt.sent_us, reply.elsewhere_units,
                 0 if reply.used_percent is None else reply.used_percent + 1,
                 reply.report,
             )
--- a/stackrouter/net/client_connection.py
+++ b/stackrouter/net/client_connection.py
@@ -161,7 +161,7 @@
         if not self.settled():
             return
         on_its_way = len(self.inbox) > 0 or self._sock.readable()
-        if on_its_way and not self.ending:
+        if on_its_way and self.listener.busy and not self.ending:
             self.listener.counters.add("clients.refused_at_exit")
             self.ending = True
             with contextlib.suppress(OSError), gevent.Timeout(MAX_EXIT_WRITE_S, TimeoutError()):
